--- /dev/null
+++ b/coordination/src/main/java/org/flamingopitch/coordination/api/SystemTimeSourceClock.java
@@ -0,0 +1,17 @@
+package org.flamingopitch.coordination.api;
+
+import java.time.Instant;
+
+/** The time source of a real process: the wall clock at start, advanced by the monotonic clock. */
+public final class SystemTimeSourceClock implements TimeSource {
+
+    private final Instant wallClockOrigin = Instant.now();
+
+    private final long monotonicOriginNanos = System.nanoTime();
+
+    @Override
+    public Instant now() {
+        long elapsedNanos = System.nanoTime() - monotonicOriginNanos;
+        return wallClockOrigin.plusNanos(elapsedNanos);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/flamingopitch/coordination/journal/SegmentCodec.java
@@ -0,0 +1,52 @@
+package org.flamingopitch.coordination.journal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingopitch.coordination.api.JsonCodec;
+
+/**
+ * Encodes a segment: the name of the write in the first line, then a record in each line.
+ *
+ * @param <R> the type of the records
+ */
+final class SegmentCodec<R> {
+
+    private static final char LINE_END = '\n';
+
+    private final JsonCodec codec;
+
+    private final Class<R> recordType;
+
+    SegmentCodec(JsonCodec codec, Class<R> recordType) {
+        this.codec = codec;
+        this.recordType = recordType;
+    }
+
+    String encodeRecord(R record) {
+        try {
+            return codec.mapper().writerFor(recordType).writeValueAsString(record);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot encode " + record, e);
+        }
+    }
+
+    String encode(String writeId, List<String> lines) {
+        return writeId + LINE_END + String.join("\n", lines);
+    }
+
+    String writeId(String segment) {
+        int end = segment.indexOf(LINE_END);
+        return end < 0 ? segment : segment.substring(0, end);
+    }
+
+    List<R> records(String segment) {
+        List<R> records = new ArrayList<>();
+        segment.lines().skip(1).filter(line -> !line.isEmpty()).forEach(line -> records.add(decode(line)));
+        return records;
+    }
+
+    private R decode(String line) {
+        return codec.decode(line, recordType);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/flamingopitch/coordination/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits: token buckets, retry budgets and backoff. */
+package org.flamingopitch.coordination.limit;
--- /dev/null
+++ b/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipDirectory.java
@@ -0,0 +1,64 @@
+package org.flamingopitch.coordination.ownership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.api.PartitionId;
+import org.flamingopitch.coordination.api.ProcessId;
+import org.flamingopitch.coordination.kv.KeyValueEntry;
+import org.flamingopitch.coordination.kv.StoreWatcher;
+
+/** Looks up the owners of the partitions of all groups; the answers may be out of date. */
+public final class OwnershipDirectory {
+
+    private final String prefix;
+
+    private final Map<String, OwnershipMap> maps = new TreeMap<>();
+
+    private final Map<PartitionId, ProcessId> owners = new HashMap<>();
+
+    /**
+     * Creates a directory.
+     *
+     * @param watcher follows the keys
+     * @param prefix the prefix of the groups' keys
+     */
+    public OwnershipDirectory(StoreWatcher watcher, String prefix) {
+        this.prefix = prefix;
+        watcher.listen(this::applyEntry);
+    }
+
+    /**
+     * Looks up an owner.
+     *
+     * @param partition the partition
+     * @return the owner that the store last showed
+     */
+    public Optional<ProcessId> owner(PartitionId partition) {
+        return Optional.ofNullable(owners.get(partition));
+    }
+
+    /**
+     * Returns all owners.
+     *
+     * @return the entries of all groups
+     */
+    public List<OwnershipEntry> entries() {
+        List<OwnershipEntry> entries = new ArrayList<>();
+        maps.values().forEach(map -> entries.addAll(map.entries()));
+        return entries;
+    }
+
+    private void applyEntry(KeyValueEntry entry) {
+        if (!entry.key().startsWith(prefix) || entry.deleted()) {
+            return;
+        }
+        maps.put(entry.key(), JsonCodec.json().decode(entry.value(), OwnershipMap.class));
+        owners.clear();
+        entries().forEach(each -> owners.put(each.partition(), each.owner()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/StatusCommand.java
@@ -0,0 +1,42 @@
+package org.flamingopitch.daemon.cli;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.scheduler.node.NodeStatus;
+import org.flamingopitch.transport.http.HttpOutcome;
+
+/** Shows the state of an entry host. */
+final class StatusCommand implements Command {
+
+    @Override
+    public String summary() {
+        return "Shows the state of an entry host: members, owners, racks, workers, shards.";
+    }
+
+    @Override
+    public String arguments() {
+        return "--host IP:PORT [--json]";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(OperatorClient.hostOption())
+                .addOption(null, "json", false, "print the state as JSON");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws InterruptedException {
+        try (OperatorClient client = OperatorClient.of(line)) {
+            HttpOutcome outcome = client.send("GET", "/v1/status", "");
+            boolean table = outcome instanceof HttpOutcome.Answered answer && answer.success();
+            if (!table || line.hasOption("json")) {
+                return OperatorClient.print(outcome);
+            }
+            String text = ((HttpOutcome.Answered) outcome).text();
+            System.out.print(StatusTable.format(JsonCodec.json().decode(text, NodeStatus.class)));
+            return ExitCode.OK;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.flamingopitch.daemon.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/demo/DemoCommand.java
@@ -0,0 +1,142 @@
+package org.flamingopitch.daemon.demo;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.api.SystemTimeSourceClock;
+import org.flamingopitch.daemon.cli.Command;
+import org.flamingopitch.daemon.cli.ExitCode;
+import org.flamingopitch.daemon.cli.OperatorClient;
+import org.flamingopitch.daemon.cli.StatusTable;
+import org.flamingopitch.daemon.entry.EntryHost;
+import org.flamingopitch.scheduler.node.NodeStatus;
+import org.flamingopitch.transport.http.HttpOutcome;
+
+/** Runs three entry hosts and stand-ins for the platform in one process and sends each kind of work through them. */
+public final class DemoCommand implements Command {
+
+    private static final int HOSTS = 3;
+
+    private static final int WORKERS_PER_CENTRE = 3;
+
+    private static final int MAX_TRIES = 150;
+
+    private static final long TRY_INTERVAL_NANOS = 100_000_000L;
+
+    @Override
+    public String summary() {
+        return "Runs entry hosts and stand-ins in one process and sends each kind of work through them.";
+    }
+
+    @Override
+    public String arguments() {
+        return "[--keep]";
+    }
+
+    @Override
+    public Options options() {
+        return new Options().addOption(null, "keep", false, "leave everything running and print the addresses");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws InterruptedException {
+        DemoPlatform platform = new DemoPlatform(new SystemTimeSourceClock(), WORKERS_PER_CENTRE, HOSTS);
+        platform.start();
+        try {
+            showWork(platform);
+            if (line.hasOption("keep")) {
+                printAddresses(platform);
+                new CountDownLatch(1).await();
+            }
+            return ExitCode.OK;
+        } finally {
+            platform.stop();
+        }
+    }
+
+    private static void showWork(DemoPlatform platform) throws InterruptedException {
+        EntryHost first = platform.hosts().get(0);
+        EntryHost second = platform.hosts().get(1);
+        EntryHost third = platform.hosts().get(2);
+        try (OperatorClient operator = new OperatorClient(first.operatorAddress());
+                OperatorClient firstCaller = new OperatorClient(first.callerAddress());
+                OperatorClient secondCaller = new OperatorClient(second.callerAddress());
+                OperatorClient thirdCaller = new OperatorClient(third.callerAddress())) {
+            show("configuration", operator.send("PUT", "/v1/config?expected=0&who=demo", platform.configuration()));
+            HttpOutcome price = until(
+                    () -> firstCaller.send("POST", "/v1/run/price-check", "{\"item\":\"chair\",\"workMillis\":5}"),
+                    DemoCommand::succeeded);
+            show("price check at " + first.name(), price);
+            HttpOutcome hold = until(
+                    () -> secondCaller.send("POST", "/v1/run/booking-hold", "{\"room\":7,\"workMillis\":5}"),
+                    DemoCommand::succeeded);
+            show("booking hold at " + second.name(), hold);
+            showRender(operator, thirdCaller);
+            NodeStatus status = JsonCodec.json().decode(text(operator.send("GET", "/v1/status", "")), NodeStatus.class);
+            System.out.println("--- status of " + first.name());
+            System.out.print(StatusTable.format(status));
+            System.out.println("--- metrics of " + first.name());
+            text(operator.send("GET", "/metrics", ""))
+                    .lines()
+                    .filter(metric -> metric.startsWith("flamingopitch") && metric.contains("_total"))
+                    .forEach(System.out::println);
+        }
+    }
+
+    private static void showRender(OperatorClient operator, OperatorClient caller) throws InterruptedException {
+        String key = JsonCodec.json()
+                .decode(text(caller.send("POST", "/v1/keys", "")), MintedKey.class)
+                .key();
+        String path = "/v1/jobs/" + key;
+        until(
+                () -> caller.send("POST", "/v1/jobs/render?key=" + key, "{\"page\":12,\"workMillis\":3000}"),
+                DemoCommand::succeeded);
+        show("render accepted", caller.send("GET", path, ""));
+        until(() -> caller.send("GET", path, ""), outcome -> text(outcome).contains("RUNNING"));
+        show("render evicted", operator.send("POST", path + "/evict", ""));
+        until(() -> caller.send("GET", path, ""), outcome -> text(outcome).contains("FINISHED"));
+        show("render finished", caller.send("GET", path, ""));
+    }
+
+    private static void printAddresses(DemoPlatform platform) {
+        System.out.println("--- still running; try:");
+        for (EntryHost host : platform.hosts()) {
+            System.out.println("curl -d '{\"workMillis\":5}' http://" + host.callerAddress() + "/v1/run/price-check");
+            System.out.println("curl http://" + host.operatorAddress() + "/v1/status");
+        }
+    }
+
+    private static void show(String title, HttpOutcome outcome) {
+        System.out.println("--- " + title);
+        System.out.println(text(outcome));
+    }
+
+    private static boolean succeeded(HttpOutcome outcome) {
+        return outcome instanceof HttpOutcome.Answered answer && answer.success();
+    }
+
+    private static String text(HttpOutcome outcome) {
+        return outcome instanceof HttpOutcome.Answered answer ? answer.text() : outcome.toString();
+    }
+
+    private static HttpOutcome until(Attempt attempt, Predicate<HttpOutcome> condition) throws InterruptedException {
+        for (int i = 0; i < MAX_TRIES; i++) {
+            HttpOutcome outcome = attempt.run();
+            if (condition.test(outcome)) {
+                return outcome;
+            }
+            LockSupport.parkNanos(TRY_INTERVAL_NANOS);
+        }
+        throw new IllegalStateException("the demonstration did not get the expected answer in time");
+    }
+
+    @FunctionalInterface
+    private interface Attempt {
+        HttpOutcome run() throws InterruptedException;
+    }
+
+    private record MintedKey(String key) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/demo/DemoPlatform.java
@@ -0,0 +1,178 @@
+package org.flamingopitch.daemon.demo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.api.TimeSource;
+import org.flamingopitch.coordination.supervisor.Service;
+import org.flamingopitch.daemon.entry.EntryHost;
+import org.flamingopitch.daemon.settings.ProcessSettings;
+import org.flamingopitch.scheduler.model.Configuration;
+import org.flamingopitch.scheduler.model.DataCentreSpec;
+import org.flamingopitch.scheduler.model.KindName;
+import org.flamingopitch.scheduler.model.KindRule;
+import org.flamingopitch.scheduler.model.RackSpec;
+import org.flamingopitch.scheduler.model.Repeatability;
+import org.flamingopitch.scheduler.model.Resources;
+import org.flamingopitch.scheduler.model.Rules;
+import org.flamingopitch.scheduler.model.Urgency;
+import org.flamingopitch.scheduler.model.WorkerId;
+import org.flamingopitch.scheduler.model.WorkerSpec;
+import org.flamingopitch.standins.host.HostListServer;
+import org.flamingopitch.standins.kv.KeyValueServer;
+import org.flamingopitch.standins.worker.WorkerServer;
+import org.flamingopitch.transport.http.HostPort;
+
+/** A small deployment in one process: stand-ins for the platform and some entry hosts. */
+public final class DemoPlatform implements Service {
+
+    private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+
+    private static final String REGION = "demo-region";
+
+    private static final List<String> DATA_CENTRES = List.of("centre-a", "centre-b");
+
+    private static final Resources WORKER_CAPACITY = new Resources(16_000, 60_000, 2);
+
+    private static final int SLOTS = 8;
+
+    private static final int CONNECTIONS = 64;
+
+    private static final int SHARDS = 4;
+
+    private final TimeSource clock;
+
+    private final int workersPerCentre;
+
+    private final int hostCount;
+
+    private final List<Service> services = new ArrayList<>();
+
+    private final List<EntryHost> hosts = new ArrayList<>();
+
+    private final List<WorkerServer> workers = new ArrayList<>();
+
+    private KeyValueServer store;
+
+    /**
+     * Creates a deployment.
+     *
+     * @param clock the clock
+     * @param workersPerCentre the number of workers in each of two data centres
+     * @param hostCount the number of entry hosts
+     */
+    public DemoPlatform(TimeSource clock, int workersPerCentre, int hostCount) {
+        this.clock = clock;
+        this.workersPerCentre = workersPerCentre;
+        this.hostCount = hostCount;
+    }
+
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public void start() {
+        store = started(new KeyValueServer(ANY_PORT, clock));
+        HostListServer hostList = started(new HostListServer(ANY_PORT));
+        for (String dataCentre : DATA_CENTRES) {
+            for (int i = 1; i <= workersPerCentre; i++) {
+                workers.add(started(new WorkerServer(dataCentre + "-w" + i, ANY_PORT, clock)));
+            }
+        }
+        for (int i = 0; i < hostCount; i++) {
+            String dataCentre = DATA_CENTRES.get(i % DATA_CENTRES.size());
+            ProcessSettings settings = new ProcessSettings(
+                    "entry-" + (i + 1),
+                    dataCentre,
+                    REGION,
+                    ANY_PORT.toString(),
+                    ANY_PORT.toString(),
+                    ANY_PORT.toString(),
+                    store.address().toString(),
+                    hostList.address().toString(),
+                    null,
+                    null);
+            hosts.add(started(new EntryHost(settings, clock, cause -> {})));
+        }
+    }
+
+    @Override
+    public void stop() {
+        for (int i = services.size() - 1; i >= 0; i--) {
+            services.get(i).stop();
+        }
+        services.clear();
+    }
+
+    /**
+     * Returns the entry hosts.
+     *
+     * @return the hosts
+     */
+    public List<EntryHost> hosts() {
+        return hosts;
+    }
+
+    /**
+     * Returns the workers.
+     *
+     * @return the workers
+     */
+    public List<WorkerServer> workers() {
+        return workers;
+    }
+
+    /**
+     * Returns where the key-value service listens.
+     *
+     * @return the address
+     */
+    public HostPort storeAddress() {
+        return store.address();
+    }
+
+    /**
+     * Writes the inventory of this deployment and some rules.
+     *
+     * @return the configuration as JSON
+     */
+    public String configuration() {
+        List<DataCentreSpec> dataCentres = new ArrayList<>();
+        for (int centre = 0; centre < DATA_CENTRES.size(); centre++) {
+            List<WorkerSpec> specs = new ArrayList<>();
+            for (WorkerServer worker : workers.subList(centre * workersPerCentre, (centre + 1) * workersPerCentre)) {
+                specs.add(new WorkerSpec(
+                        new WorkerId(worker.name()), worker.address().toString(), WORKER_CAPACITY, SLOTS, CONNECTIONS));
+            }
+            RackSpec rack = new RackSpec("rack-1", specs);
+            dataCentres.add(new DataCentreSpec(DATA_CENTRES.get(centre), REGION, List.of(rack)));
+        }
+        Configuration configuration = new Configuration(REGION, SHARDS, dataCentres, rules());
+        return JsonCodec.json().encode(configuration);
+    }
+
+    private static Rules rules() {
+        Resources small = new Resources(500, 256, 0);
+        Resources large = new Resources(4_000, 8_000, 1);
+        List<KindRule> kinds = List.of(
+                kind("price-check", Urgency.URGENT, Repeatability.REPEATABLE, small, Duration.ofSeconds(2)),
+                kind("booking-hold", Urgency.URGENT, Repeatability.NEVER_REPEATED, small, Duration.ofSeconds(3)),
+                kind("render", Urgency.DEFERRABLE, Repeatability.REPEATABLE, large, Duration.ofHours(8)),
+                kind("carving", Urgency.DEFERRABLE, Repeatability.NEVER_REPEATED, large, Duration.ofHours(8)));
+        return new Rules(kinds, 2, 256);
+    }
+
+    private static KindRule kind(
+            String name, Urgency urgency, Repeatability repeatability, Resources size, Duration deadline) {
+        return new KindRule(new KindName(name), urgency, repeatability, size, deadline);
+    }
+
+    private <T extends Service> T started(T service) {
+        service.start();
+        services.add(service);
+        return service;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/entry/EntryMetrics.java
@@ -0,0 +1,127 @@
+package org.flamingopitch.daemon.entry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.flamingopitch.scheduler.node.NodeStatus;
+
+/** The metrics of an entry host. */
+public final class EntryMetrics {
+
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    private final Counter answers = Counter.builder()
+            .name("flamingopitch_answers_total")
+            .help("Answers to callers by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+
+    private final Histogram answerTime = Histogram.builder()
+            .name("flamingopitch_answer_duration_seconds")
+            .help("Time from a caller's request to its answer.")
+            .classicUpperBounds(.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10)
+            .classicOnly()
+            .register(registry);
+
+    private final Counter storeCalls = Counter.builder()
+            .name("flamingopitch_store_calls_total")
+            .help("Calls to the key-value service by operation.")
+            .labelNames("operation")
+            .register(registry);
+
+    private final Counter workerCalls = Counter.builder()
+            .name("flamingopitch_worker_calls_total")
+            .help("Calls to workers by operation.")
+            .labelNames("operation")
+            .register(registry);
+
+    private final Counter peerMessages = Counter.builder()
+            .name("flamingopitch_peer_messages_total")
+            .help("Messages to other entry hosts by type.")
+            .labelNames("type")
+            .register(registry);
+
+    private final Gauge configVersion = Gauge.builder()
+            .name("flamingopitch_config_version")
+            .help("The version of the configuration in force.")
+            .register(registry);
+
+    private final Gauge ownedPartitions = Gauge.builder()
+            .name("flamingopitch_owned_partitions")
+            .help("Partitions that this process owns.")
+            .labelNames("group")
+            .register(registry);
+
+    /**
+     * Notes an answer to a caller.
+     *
+     * @param outcome how it ended
+     * @param duration the time from request to answer
+     */
+    public void answered(String outcome, Duration duration) {
+        answers.labelValues(outcome).inc();
+        answerTime.observe(duration.toNanos() / MILLIS_PER_SECOND / MILLIS_PER_SECOND / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Notes a call to the key-value service.
+     *
+     * @param operation the kind of call
+     */
+    public void storeCalled(String operation) {
+        storeCalls.labelValues(operation).inc();
+    }
+
+    /**
+     * Notes a call to a worker.
+     *
+     * @param operation the kind of call
+     */
+    public void workerCalled(String operation) {
+        workerCalls.labelValues(operation).inc();
+    }
+
+    /**
+     * Notes a message to another process.
+     *
+     * @param type the kind of message
+     */
+    public void peerMessaged(String type) {
+        peerMessages.labelValues(type).inc();
+    }
+
+    /**
+     * Takes over the state that is exposed.
+     *
+     * @param status the state
+     */
+    public void update(NodeStatus status) {
+        configVersion.set(status.configVersion());
+        ownedPartitions.labelValues("racks").set(status.racks().size());
+        ownedPartitions.labelValues("shards").set(status.shards().size());
+    }
+
+    /**
+     * Writes all metrics in the text format.
+     *
+     * @return the text
+     */
+    public String text() {
+        ByteArrayOutputStream stream = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(stream, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return stream.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HostListPoller.java
@@ -0,0 +1,100 @@
+package org.flamingopitch.daemon.platform;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.supervisor.Service;
+import org.flamingopitch.scheduler.model.WorkerId;
+import org.flamingopitch.scheduler.worker.HostStatus;
+import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpClient;
+import org.flamingopitch.transport.http.HttpOrder;
+import org.flamingopitch.transport.http.HttpOutcome;
+
+/** Reads the platform's list of hosts at short intervals. */
+public final class HostListPoller implements Service {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final long INTERVAL_MILLIS = 1_000;
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private static final String LEAVING = "leaving";
+
+    private final HttpClient http;
+
+    private final HostPort address;
+
+    private final Consumer<List<HostStatus>> listener;
+
+    private ScheduledExecutorService timer;
+
+    /**
+     * Creates a poller.
+     *
+     * @param http the HTTP client
+     * @param address the list's address
+     * @param listener receives each list that was read
+     */
+    public HostListPoller(HttpClient http, HostPort address, Consumer<List<HostStatus>> listener) {
+        this.http = http;
+        this.address = address;
+        this.listener = listener;
+    }
+
+    @Override
+    public String name() {
+        return "host-list";
+    }
+
+    @Override
+    public void start() {
+        timer = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "host-list");
+            thread.setDaemon(true);
+            return thread;
+        });
+        timer.scheduleWithFixedDelay(this::poll, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        if (timer != null) {
+            timer.shutdownNow();
+            timer = null;
+        }
+    }
+
+    private void poll() {
+        HttpOrder order = new HttpOrder("GET", "/v1/hosts", new byte[0], TIMEOUT, Instant.MAX);
+        http.send(address, 1, order, this::received);
+    }
+
+    private void received(HttpOutcome outcome) {
+        if (!(outcome instanceof HttpOutcome.Answered answer) || !answer.success()) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "event=host_list_unreadable step=hosts.read peer=%s", address);
+            return;
+        }
+        try {
+            HostsBody body = JsonCodec.json().decode(answer.text(), HostsBody.class);
+            listener.accept(body.hosts().stream()
+                    .map(host -> new HostStatus(host.host(), LEAVING.equals(host.state())))
+                    .toList());
+        } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "event=host_list_unreadable step=hosts.decode peer=%s detail=\"%s\"", address, e.getMessage());
+        }
+    }
+
+    private record HostBody(WorkerId host, String state) {}
+
+    private record HostsBody(List<HostBody> hosts) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpKeyValueClient.java
@@ -0,0 +1,161 @@
+package org.flamingopitch.daemon.platform;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.Failure;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.kv.KeyValueEntry;
+import org.flamingopitch.coordination.kv.KeyValueRequest;
+import org.flamingopitch.coordination.kv.KeyValueResult;
+import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpClient;
+import org.flamingopitch.transport.http.HttpOrder;
+import org.flamingopitch.transport.http.HttpOutcome;
+import org.flamingopitch.transport.http.HttpReply;
+
+/** Calls the platform's key-value service over HTTP. */
+public final class HttpKeyValueClient {
+
+    private static final String STEP = "kv.call";
+
+    private static final Duration TIMEOUT = Duration.ofMillis(700);
+
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(5);
+
+    private static final int MAX_CONNECTIONS = 16;
+
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final HttpClient http;
+
+    private final HostPort address;
+
+    /**
+     * Creates a client.
+     *
+     * @param http the HTTP client
+     * @param address the service's address
+     */
+    public HttpKeyValueClient(HttpClient http, HostPort address) {
+        this.http = http;
+        this.address = address;
+    }
+
+    /**
+     * Calls the service.
+     *
+     * @param request the call
+     * @param handler receives the result exactly once
+     */
+    public void call(KeyValueRequest request, Consumer<KeyValueResult> handler) {
+        HttpOrder order = order(request);
+        http.send(address, MAX_CONNECTIONS, order, outcome -> handler.accept(result(request, outcome)));
+    }
+
+    private static HttpOrder order(KeyValueRequest request) {
+        if (request instanceof KeyValueRequest.Get get) {
+            return order("GET", "/v1/keys?key=" + encode(get.key()), NO_BODY, TIMEOUT);
+        }
+        if (request instanceof KeyValueRequest.ListPrefix list) {
+            return order("GET", "/v1/keys?prefix=" + encode(list.prefix()), NO_BODY, LIST_TIMEOUT);
+        }
+        if (request instanceof KeyValueRequest.Watch watch) {
+            String path = "/v1/watch?prefix=" + encode(watch.prefix()) + "&after=" + watch.afterRevision()
+                    + "&waitMillis=" + watch.maxWait().toMillis();
+            return order("GET", path, NO_BODY, watch.maxWait().plus(TIMEOUT));
+        }
+        if (request instanceof KeyValueRequest.Put put) {
+            String lease = put.leaseId() == null ? "" : "&lease=" + encode(put.leaseId());
+            String path = "/v1/keys?key=" + encode(put.key()) + "&expected=" + put.expectedVersion() + lease;
+            return order("PUT", path, put.value().getBytes(StandardCharsets.UTF_8), TIMEOUT);
+        }
+        if (request instanceof KeyValueRequest.Delete delete) {
+            String path = "/v1/keys?key=" + encode(delete.key()) + "&expected=" + delete.expectedVersion();
+            return order("DELETE", path, NO_BODY, TIMEOUT);
+        }
+        return leaseOrder(request);
+    }
+
+    private static HttpOrder leaseOrder(KeyValueRequest request) {
+        if (request instanceof KeyValueRequest.GrantLease grant) {
+            String path = "/v1/leases?ttlMillis=" + grant.timeToLive().toMillis();
+            return order("POST", path, NO_BODY, TIMEOUT);
+        }
+        if (request instanceof KeyValueRequest.RenewLease renew) {
+            return order("PUT", "/v1/leases?lease=" + encode(renew.leaseId()), NO_BODY, TIMEOUT);
+        }
+        KeyValueRequest.RevokeLease revoke = (KeyValueRequest.RevokeLease) request;
+        return order("DELETE", "/v1/leases?lease=" + encode(revoke.leaseId()), NO_BODY, TIMEOUT);
+    }
+
+    private static HttpOrder order(String method, String path, byte[] body, Duration timeout) {
+        return new HttpOrder(method, path, body, timeout, Instant.MAX);
+    }
+
+    private KeyValueResult result(KeyValueRequest request, HttpOutcome outcome) {
+        if (outcome instanceof HttpOutcome.NotSent notSent) {
+            return new KeyValueResult.Failed(notSent.failure());
+        }
+        if (outcome instanceof HttpOutcome.Lost lost) {
+            return new KeyValueResult.Failed(lost.failure());
+        }
+        HttpOutcome.Answered answer = (HttpOutcome.Answered) outcome;
+        try {
+            return decode(request, answer);
+        } catch (IllegalArgumentException e) {
+            return failed(e.getMessage());
+        }
+    }
+
+    private KeyValueResult decode(KeyValueRequest request, HttpOutcome.Answered answer) {
+        if (answer.status() == HttpReply.CONFLICT) {
+            return new KeyValueResult.Conflict(decode(answer, VersionBody.class).version());
+        }
+        if (answer.status() == HttpReply.GONE) {
+            return new KeyValueResult.LeaseEnded();
+        }
+        if (answer.status() == HttpReply.NOT_FOUND && request instanceof KeyValueRequest.Get) {
+            return new KeyValueResult.Missing();
+        }
+        if (!answer.success()) {
+            return failed("status " + answer.status() + " " + answer.text());
+        }
+        return decodeSuccess(request, answer);
+    }
+
+    private static KeyValueResult decodeSuccess(KeyValueRequest request, HttpOutcome.Answered answer) {
+        if (request instanceof KeyValueRequest.Get) {
+            return new KeyValueResult.Found(decode(answer, KeyValueEntry.class));
+        }
+        if (request instanceof KeyValueRequest.Put || request instanceof KeyValueRequest.Delete) {
+            return new KeyValueResult.Written(decode(answer, VersionBody.class).version());
+        }
+        if (request instanceof KeyValueRequest.ListPrefix || request instanceof KeyValueRequest.Watch) {
+            KeysBody body = decode(answer, KeysBody.class);
+            return new KeyValueResult.Listed(body.entries(), body.revision(), body.complete());
+        }
+        return new KeyValueResult.Leased(decode(answer, LeaseBody.class).lease());
+    }
+
+    private static <T> T decode(HttpOutcome.Answered answer, Class<T> type) {
+        return JsonCodec.json().decode(answer.text(), type);
+    }
+
+    private KeyValueResult failed(String detail) {
+        return new KeyValueResult.Failed(new Failure(STEP, address.toString(), detail));
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private record VersionBody(long version) {}
+
+    private record LeaseBody(String lease) {}
+
+    private record KeysBody(List<KeyValueEntry> entries, long revision, boolean complete) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpWorkerClient.java
@@ -0,0 +1,168 @@
+package org.flamingopitch.daemon.platform;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.Failure;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.api.TimeSource;
+import org.flamingopitch.scheduler.model.Payload;
+import org.flamingopitch.scheduler.model.RequestId;
+import org.flamingopitch.scheduler.model.Resources;
+import org.flamingopitch.scheduler.model.WorkerId;
+import org.flamingopitch.scheduler.model.WorkerSpec;
+import org.flamingopitch.scheduler.worker.TaskReport;
+import org.flamingopitch.scheduler.worker.UsageReport;
+import org.flamingopitch.scheduler.worker.WorkerRequest;
+import org.flamingopitch.scheduler.worker.WorkerResult;
+import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpClient;
+import org.flamingopitch.transport.http.HttpOrder;
+import org.flamingopitch.transport.http.HttpOutcome;
+import org.flamingopitch.transport.http.HttpReply;
+
+/** Calls workers over HTTP, on at most half of the connections that a worker accepts. */
+public final class HttpWorkerClient {
+
+    private static final String STEP = "worker.call";
+
+    private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(1_000);
+
+    private static final int OWNERS_AT_A_TIME = 2;
+
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final HttpClient http;
+
+    private final TimeSource clock;
+
+    private final ConcurrentMap<WorkerId, HostPort> addresses = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a client.
+     *
+     * @param http the HTTP client
+     * @param clock the clock
+     */
+    public HttpWorkerClient(HttpClient http, TimeSource clock) {
+        this.http = http;
+        this.clock = clock;
+    }
+
+    /**
+     * Calls a worker.
+     *
+     * @param worker the worker
+     * @param request the call
+     * @param notAfter the call must not be written after that time
+     * @param handler receives the result exactly once
+     */
+    public void call(WorkerSpec worker, WorkerRequest request, Instant notAfter, Consumer<WorkerResult> handler) {
+        HostPort address = HostPort.parse(worker.address());
+        addresses.put(worker.name(), address);
+        int connections = worker.connections() / OWNERS_AT_A_TIME;
+        http.send(address, connections, order(request, notAfter), outcome -> handler.accept(result(request, outcome)));
+    }
+
+    /**
+     * Closes the idle connections to a worker.
+     *
+     * @param worker the worker
+     */
+    public void release(WorkerId worker) {
+        HostPort address = addresses.get(worker);
+        if (address != null) {
+            http.release(address);
+        }
+    }
+
+    private HttpOrder order(WorkerRequest request, Instant notAfter) {
+        if (request instanceof WorkerRequest.Execute execute) {
+            String path = "/v1/requests?id=" + encode(execute.id().value()) + "&kind="
+                    + encode(execute.kind().value());
+            return new HttpOrder("POST", path, execute.payload().bytes(), remaining(notAfter), notAfter);
+        }
+        if (request instanceof WorkerRequest.StartTask) {
+            return json("/v1/tasks", request, notAfter);
+        }
+        if (request instanceof WorkerRequest.CheckpointAndStop stop) {
+            return json("/v1/tasks/checkpoint-and-stop", stop.task(), notAfter);
+        }
+        if (request instanceof WorkerRequest.Stop stop) {
+            return json("/v1/tasks/stop", stop.task(), notAfter);
+        }
+        String path = request instanceof WorkerRequest.Throttle ? "/v1/tasks/throttle" : "/v1/report";
+        return json(path, request, notAfter);
+    }
+
+    private Duration remaining(Instant notAfter) {
+        return Duration.between(clock.now(), notAfter).plus(CONTROL_TIMEOUT);
+    }
+
+    private static HttpOrder json(String path, Object body, Instant notAfter) {
+        byte[] bytes = body == null ? NO_BODY : JsonCodec.json().encode(body).getBytes(StandardCharsets.UTF_8);
+        return new HttpOrder("POST", path, bytes, CONTROL_TIMEOUT, notAfter);
+    }
+
+    private static WorkerResult result(WorkerRequest request, HttpOutcome outcome) {
+        if (outcome instanceof HttpOutcome.NotSent notSent) {
+            return new WorkerResult.NotSent(notSent.failure());
+        }
+        if (outcome instanceof HttpOutcome.Lost lost) {
+            return new WorkerResult.Lost(lost.failure());
+        }
+        HttpOutcome.Answered answer = (HttpOutcome.Answered) outcome;
+        try {
+            return decode(request, answer);
+        } catch (IllegalArgumentException e) {
+            return new WorkerResult.Lost(new Failure(STEP, "worker", e.getMessage()));
+        }
+    }
+
+    private static WorkerResult decode(WorkerRequest request, HttpOutcome.Answered answer) {
+        if (request instanceof WorkerRequest.Execute) {
+            return answer.success()
+                    ? new WorkerResult.Executed(Payload.of(answer.body()))
+                    : new WorkerResult.ExecutionFailed("status " + answer.status() + " " + answer.text());
+        }
+        if (request instanceof WorkerRequest.StartTask) {
+            return decodeStart(answer);
+        }
+        if (answer.status() == HttpReply.NOT_FOUND) {
+            return new WorkerResult.TaskMissing();
+        }
+        if (!answer.success()) {
+            return new WorkerResult.Lost(new Failure(STEP, "worker", "status " + answer.status()));
+        }
+        if (request instanceof WorkerRequest.Report) {
+            ReportBody body = JsonCodec.json().decode(answer.text(), ReportBody.class);
+            UsageReport usage = new UsageReport(
+                    body.usage().used(), Duration.ofMillis(body.usage().ageMillis()));
+            return new WorkerResult.Reported(body.tasks(), body.requests(), body.connections(), usage);
+        }
+        return new WorkerResult.TaskChanged(JsonCodec.json().decode(answer.text(), TaskReport.class));
+    }
+
+    private static WorkerResult decodeStart(HttpOutcome.Answered answer) {
+        if (answer.success()) {
+            return new WorkerResult.TaskStarted();
+        }
+        if (answer.status() == HttpReply.CONFLICT || answer.status() == HttpReply.BAD_REQUEST) {
+            return new WorkerResult.TaskRefused(answer.text());
+        }
+        return new WorkerResult.Lost(new Failure(STEP, "worker", "status " + answer.status()));
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private record UsageBody(Resources used, long ageMillis) {}
+
+    private record ReportBody(List<TaskReport> tasks, List<RequestId> requests, int connections, UsageBody usage) {}
+}
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests with real processes. */
+package org.flamingopitch.daemon.process;
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/model/ConfigurationCheck.java
@@ -0,0 +1,87 @@
+package org.flamingopitch.scheduler.model;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Checks what a schema cannot: uniqueness, references, and that each kind of work fits somewhere. */
+public final class ConfigurationCheck {
+
+    private final Configuration configuration;
+
+    private final List<String> problems = new ArrayList<>();
+
+    private ConfigurationCheck(Configuration configuration) {
+        this.configuration = configuration;
+    }
+
+    /**
+     * Checks a configuration.
+     *
+     * @param configuration the configuration
+     * @return all problems, each with the JSON pointer of its place
+     */
+    public static List<String> problems(Configuration configuration) {
+        ConfigurationCheck check = new ConfigurationCheck(configuration);
+        check.checkPlaces();
+        check.checkKinds();
+        return List.copyOf(check.problems);
+    }
+
+    private void checkPlaces() {
+        Set<String> dataCentres = new HashSet<>();
+        Set<WorkerId> workers = new HashSet<>();
+        boolean homeFound = false;
+        for (int i = 0; i < configuration.dataCentres().size(); i++) {
+            DataCentreSpec dataCentre = configuration.dataCentres().get(i);
+            String pointer = "/dataCentres/" + i;
+            requireNew(dataCentres.add(dataCentre.name()), pointer + "/name", dataCentre.name());
+            homeFound |= dataCentre.region().equals(configuration.homeRegion());
+            checkRacks(dataCentre, pointer, workers);
+        }
+        if (!homeFound) {
+            problems.add("/homeRegion: no data centre is in region \"" + configuration.homeRegion() + "\"");
+        }
+    }
+
+    private void checkRacks(DataCentreSpec dataCentre, String pointer, Set<WorkerId> workers) {
+        Set<String> racks = new HashSet<>();
+        for (int i = 0; i < dataCentre.racks().size(); i++) {
+            RackSpec rack = dataCentre.racks().get(i);
+            String rackPointer = pointer + "/racks/" + i;
+            requireNew(racks.add(rack.name()), rackPointer + "/name", rack.name());
+            for (int j = 0; j < rack.workers().size(); j++) {
+                WorkerId worker = rack.workers().get(j).name();
+                requireNew(workers.add(worker), rackPointer + "/workers/" + j + "/name", worker.value());
+            }
+        }
+    }
+
+    private void checkKinds() {
+        Set<KindName> kinds = new HashSet<>();
+        for (int i = 0; i < configuration.rules().kinds().size(); i++) {
+            KindRule rule = configuration.rules().kinds().get(i);
+            String pointer = "/rules/kinds/" + i;
+            requireNew(kinds.add(rule.name()), pointer + "/name", rule.name().value());
+            if (!fitsSomewhere(rule)) {
+                problems.add(pointer + "/size: no worker of the inventory is large enough for \"" + rule.name() + "\"");
+            }
+        }
+    }
+
+    private boolean fitsSomewhere(KindRule rule) {
+        int reserve = configuration.rules().urgentReserveSlots();
+        return configuration.dataCentres().stream()
+                .flatMap(dataCentre -> dataCentre.racks().stream())
+                .flatMap(rack -> rack.workers().stream())
+                .anyMatch(worker -> rule.size().fitsInto(worker.capacity())
+                        && rule.urgency().usableSlots(worker.slots(), reserve) > 0);
+    }
+
+    private void requireNew(boolean isNew, String pointer, String name) {
+        if (!isNew) {
+            problems.add(pointer + ": \"" + name + "\" is used twice");
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/model/RackSpec.java
@@ -0,0 +1,11 @@
+package org.flamingopitch.scheduler.model;
+
+import java.util.List;
+
+/**
+ * A rack of the inventory.
+ *
+ * @param name the name, unique within the data centre
+ * @param workers its workers
+ */
+public record RackSpec(String name, List<WorkerSpec> workers) {}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/model/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' configuration and the values that all parts of the scheduler share. */
+package org.flamingopitch.scheduler.model;
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/Coordination.java
@@ -0,0 +1,204 @@
+package org.flamingopitch.scheduler.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.flamingopitch.coordination.api.PartitionId;
+import org.flamingopitch.coordination.api.ProcessId;
+import org.flamingopitch.coordination.config.ConfigService;
+import org.flamingopitch.coordination.kv.StoreWatcher;
+import org.flamingopitch.coordination.membership.Member;
+import org.flamingopitch.coordination.membership.MembershipService;
+import org.flamingopitch.coordination.ownership.Acquaintances;
+import org.flamingopitch.coordination.ownership.OwnershipDirectory;
+import org.flamingopitch.coordination.ownership.OwnershipEntry;
+import org.flamingopitch.coordination.ownership.OwnershipGroup;
+import org.flamingopitch.coordination.ownership.OwnershipListener;
+import org.flamingopitch.coordination.ownership.OwnershipScope;
+import org.flamingopitch.scheduler.message.PeerMessage;
+import org.flamingopitch.scheduler.model.Configuration;
+import org.flamingopitch.scheduler.model.DataCentreSpec;
+
+/** The coordination parts of an entry host: membership, ownership of racks and shards, configuration. */
+final class Coordination {
+
+    private static final String SHARD_GROUP = "shards";
+
+    private static final String RACK_GROUP = "racks";
+
+    private final EffectContext context;
+
+    private final StoreWatcher watcher;
+
+    private final MembershipService membership;
+
+    private final Acquaintances acquaintances = new Acquaintances();
+
+    private final OwnershipDirectory directory;
+
+    private final OwnershipGroup racks;
+
+    private final OwnershipGroup shards;
+
+    private final ConfigService<Configuration> config;
+
+    Coordination(
+            EffectContext context,
+            NodeSettings settings,
+            Function<String, Configuration> parser,
+            OwnershipListener rackListener,
+            OwnershipListener shardListener) {
+        this.context = context;
+        this.watcher = new StoreWatcher(context, StoreKeys.FOLLOWED);
+        Member self = settings.self();
+        this.config = new ConfigService<>(
+                context, watcher, StoreKeys.CONFIG, self.id().value(), parser);
+        this.membership = new MembershipService(context, watcher, settings.lease(), StoreKeys.MEMBERS, self);
+        this.directory = new OwnershipDirectory(watcher, StoreKeys.OWNERS);
+        this.racks = new OwnershipGroup(
+                context,
+                RACK_GROUP,
+                StoreKeys.OWNERS + RACK_GROUP + "/" + self.dataCentre(),
+                watcher,
+                membership,
+                acquaintances,
+                settings.lease(),
+                new RackOwners(config::current, self.dataCentre()),
+                (peer, group, round) -> context.send(peer, new PeerMessage.AskPromise(group, round)),
+                rackListener);
+        this.shards = new OwnershipGroup(
+                context,
+                SHARD_GROUP,
+                StoreKeys.OWNERS + SHARD_GROUP,
+                watcher,
+                membership,
+                acquaintances,
+                settings.lease(),
+                new ShardOwners(config::current),
+                (peer, group, round) -> context.send(peer, new PeerMessage.AskPromise(group, round)),
+                shardListener);
+        membership.onRegistered(this::introduceAnew);
+        membership.onAbsent(acquaintances::forget);
+        membership.onChange(this::connectPeers);
+    }
+
+    void start() {
+        watcher.start();
+        membership.start();
+        racks.start();
+        shards.start();
+        probeRegularly();
+    }
+
+    void stop() {
+        watcher.stop();
+        racks.stop();
+        shards.stop();
+        membership.stop();
+    }
+
+    StoreWatcher watcher() {
+        return watcher;
+    }
+
+    MembershipService membership() {
+        return membership;
+    }
+
+    Acquaintances acquaintances() {
+        return acquaintances;
+    }
+
+    OwnershipDirectory directory() {
+        return directory;
+    }
+
+    OwnershipGroup racks() {
+        return racks;
+    }
+
+    OwnershipGroup shards() {
+        return shards;
+    }
+
+    ConfigService<Configuration> config() {
+        return config;
+    }
+
+    OwnershipGroup group(String name) {
+        return name.equals(SHARD_GROUP) ? shards : racks;
+    }
+
+    void introduceTo(ProcessId peer) {
+        context.send(peer, new PeerMessage.Introduce(membership.self(), membership.registration()));
+    }
+
+    private void introduceAnew() {
+        acquaintances.forgetWelcomes();
+        otherMembers().forEach(member -> introduceTo(member.id()));
+    }
+
+    private List<Member> otherMembers() {
+        return membership.members().stream()
+                .filter(member -> !member.id().equals(context.self()))
+                .toList();
+    }
+
+    private void connectPeers() {
+        List<Member> peers = new ArrayList<>(otherMembers());
+        for (OwnershipEntry entry : directory.entries()) {
+            boolean absent = membership.member(entry.owner()).isEmpty()
+                    && !entry.owner().equals(context.self())
+                    && !acquaintances.gone(entry.owner());
+            if (absent && peers.stream().noneMatch(peer -> peer.id().equals(entry.owner()))) {
+                peers.add(new Member(entry.owner(), "", "", entry.peerAddress(), true));
+            }
+        }
+        context.emit(new NodeEffect.ConnectPeers(peers));
+    }
+
+    private void probeRegularly() {
+        connectPeers();
+        context.schedule(java.time.Duration.ofSeconds(1), this::probeRegularly);
+    }
+
+    private record RackOwners(Supplier<Configuration> configuration, String dataCentre) implements OwnershipScope {
+
+        @Override
+        public SortedSet<PartitionId> partitions() {
+            SortedSet<PartitionId> partitions = new TreeSet<>();
+            if (configuration.get() == null) {
+                return partitions;
+            }
+            for (DataCentreSpec each : configuration.get().dataCentres()) {
+                if (each.name().equals(dataCentre)) {
+                    each.racks().forEach(rack -> partitions.add(Configuration.partition(each, rack)));
+                }
+            }
+            return partitions;
+        }
+
+        @Override
+        public boolean eligible(Member member) {
+            return member.dataCentre().equals(dataCentre);
+        }
+    }
+
+    private record ShardOwners(Supplier<Configuration> configuration) implements OwnershipScope {
+
+        @Override
+        public SortedSet<PartitionId> partitions() {
+            Configuration current = configuration.get();
+            return current == null ? new TreeSet<>() : ShardUtil.all(current.shards());
+        }
+
+        @Override
+        public boolean eligible(Member member) {
+            Configuration current = configuration.get();
+            return current != null && member.region().equals(current.homeRegion());
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/NodeSettings.java
@@ -0,0 +1,49 @@
+package org.flamingopitch.scheduler.node;
+
+import java.time.Duration;
+import org.flamingopitch.coordination.journal.JournalSettings;
+import org.flamingopitch.coordination.membership.LeaseTimings;
+import org.flamingopitch.coordination.membership.Member;
+import org.flamingopitch.coordination.once.OncePolicy;
+
+/**
+ * The settings of an entry host's core.
+ *
+ * @param self what the process tells about itself
+ * @param lease the times of its lease
+ * @param timings the times of the scheduler
+ * @param journal the bounds of the journals
+ * @param oncePolicy how keys are kept from running twice
+ * @param jobDeadline how long a caller waits for the answer to a job command
+ * @param drainDeadline how long a shutdown waits for hand-overs
+ * @param seed the seed of the random numbers
+ */
+public record NodeSettings(
+        Member self,
+        LeaseTimings lease,
+        NodeTimings timings,
+        JournalSettings journal,
+        OncePolicy oncePolicy,
+        Duration jobDeadline,
+        Duration drainDeadline,
+        long seed) {
+
+    /**
+     * Returns the default settings of a process.
+     *
+     * @param self what the process tells about itself
+     * @param seed the seed of the random numbers
+     * @return the settings
+     */
+    public static NodeSettings defaults(Member self, long seed) {
+        return new NodeSettings(
+                self,
+                LeaseTimings.defaults(),
+                NodeTimings.defaults(),
+                JournalSettings.defaults(),
+                OncePolicy.ADAPTIVE,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(20),
+                seed);
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/route/RoutedCall.java
@@ -0,0 +1,100 @@
+package org.flamingopitch.scheduler.route;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.PartitionId;
+import org.flamingopitch.coordination.api.ProcessId;
+
+/**
+ * The state of one call on its way.
+ *
+ * @param <A> the type of the answers
+ */
+final class RoutedCall<A> {
+
+    private final CallSpec<A> spec;
+
+    private final Instant deadline;
+
+    private final Consumer<A> reply;
+
+    private final Set<PartitionId> avoided = new HashSet<>();
+
+    private long attempt;
+
+    private ProcessId peer;
+
+    private PartitionId partition;
+
+    private Runnable cancelLocal = () -> {};
+
+    private boolean mayHaveRun;
+
+    private boolean finished;
+
+    RoutedCall(CallSpec<A> spec, Instant deadline, Consumer<A> reply) {
+        this.spec = spec;
+        this.deadline = deadline;
+        this.reply = reply;
+    }
+
+    CallSpec<A> spec() {
+        return spec;
+    }
+
+    Instant deadline() {
+        return deadline;
+    }
+
+    Set<PartitionId> avoided() {
+        return avoided;
+    }
+
+    PartitionId partition() {
+        return partition;
+    }
+
+    ProcessId peer() {
+        return peer;
+    }
+
+    long attempt() {
+        return attempt;
+    }
+
+    boolean finished() {
+        return finished;
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun || attempt != 0;
+    }
+
+    void begin(long newAttempt, Route route) {
+        attempt = newAttempt;
+        partition = route.partition();
+        peer = route.owner();
+    }
+
+    void cancelLocalWith(Runnable cancel) {
+        cancelLocal = cancel;
+    }
+
+    void cancelLocal() {
+        cancelLocal.run();
+    }
+
+    void endAttempt(boolean inDoubt) {
+        attempt = 0;
+        peer = null;
+        mayHaveRun |= inDoubt;
+    }
+
+    void finish(A answer) {
+        finished = true;
+        attempt = 0;
+        reply.accept(answer);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/flamingopitch/standins/host/HostListServer.java
@@ -0,0 +1,73 @@
+package org.flamingopitch.standins.host;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.flamingopitch.coordination.supervisor.Service;
+import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpCall;
+import org.flamingopitch.transport.http.HttpReply;
+import org.flamingopitch.transport.http.HttpRoutes;
+import org.flamingopitch.transport.http.HttpServer;
+
+/** Serves the list of hosts over HTTP. */
+public final class HostListServer implements Service {
+
+    private final Map<String, String> states = new TreeMap<>();
+
+    private final HttpServer http;
+
+    /**
+     * Creates the server with an empty list.
+     *
+     * @param address where it listens
+     */
+    public HostListServer(HostPort address) {
+        HttpRoutes routes = new HttpRoutes().on("GET", "/v1/hosts", this::list).on("PUT", "/v1/hosts", this::change);
+        this.http = new HttpServer("host-list-stand-in", address, routes, 1);
+    }
+
+    @Override
+    public String name() {
+        return "host-list-stand-in";
+    }
+
+    @Override
+    public void start() {
+        http.start();
+    }
+
+    @Override
+    public void stop() {
+        http.stop();
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return the address
+     */
+    public HostPort address() {
+        return http.boundAddress();
+    }
+
+    private synchronized void list(HttpCall call) {
+        List<HostView> hosts = new ArrayList<>();
+        states.forEach((host, state) -> hosts.add(new HostView(host, state)));
+        call.answer(HttpReply.json(HttpReply.OK, new HostsView(hosts)));
+    }
+
+    private synchronized void change(HttpCall call) {
+        String state = call.required("state");
+        if (!state.equals("live") && !state.equals("leaving")) {
+            throw new IllegalArgumentException("state must be live or leaving: " + state);
+        }
+        states.put(call.required("host"), state);
+        list(call);
+    }
+
+    private record HostView(String host, String state) {}
+
+    private record HostsView(List<HostView> hosts) {}
+}
--- /dev/null
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HostPort.java
@@ -0,0 +1,48 @@
+package org.flamingopitch.transport.http;
+
+/**
+ * An address.
+ *
+ * @param host an IP number
+ * @param port the port
+ */
+public record HostPort(String host, int port) {
+
+    private static final int MAX_PORT = 65_535;
+
+    /**
+     * Checks the port.
+     *
+     * @param host an IP number
+     * @param port the port
+     */
+    public HostPort {
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port " + port + " is not between 0 and " + MAX_PORT);
+        }
+    }
+
+    /**
+     * Parses an address.
+     *
+     * @param text an IP number, a colon and a port
+     * @return the address
+     * @throws IllegalArgumentException if the text is none
+     */
+    public static HostPort parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("\"" + text + "\" is not an address like 127.0.0.1:8080");
+        }
+        try {
+            return new HostPort(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("\"" + text + "\" has no port number", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
