Prove the promises under faults: sessions, fault matrix, sabotage

Cause: the thin path had no proof under failure. Ruled out: random soak runs (no step is certain to be struck) and a cluster simulator (not wanted).

Change: sessions run whole cores on a fake clock against fakes at the three ports; the matrix runs every fault at every step and pairs at seeded steps; checks read only what workers logged and callers saw. Sabotage takes one safeguard away at a time and the matrix must see the promise break. Faults found by it and mended: a second copy of a message that met a rack its receiver had just gained ran the request again (the copy is now recognised before anything else); a message about tasks met a process without a configuration and threw; a shutdown ended before the balancer could notice (it lingers); a cut off watch hid a configuration for 25 s (now 10 s).

Conclusion: one pair (a job accepted and never started) is being traced.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -14,7 +14,7 @@
 /** Follows all keys with a prefix: one list call, then one waiting watch at a time; versions never go back. */
 public final class StoreWatcher {
 
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
--- a/daemon/src/main/java/org/flamingopitch/daemon/entry/EntryHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/entry/EntryHost.java
@@ -205,6 +205,7 @@
                     settings.effectiveOncePolicy(),
                     defaults.jobDeadline(),
                     settings.drainTime(),
+                    defaults.drainLinger(),
                     defaults.seed());
             node = new SchedulerNode(nodeSettings, ConfigurationParser::parse);
             EffectExecutor executor = new EffectExecutor(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/node/NodeSettings.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/NodeSettings.java
@@ -16,6 +16,7 @@
  * @param oncePolicy how keys are kept from running twice
  * @param jobDeadline how long a caller waits for the answer to a job command
  * @param drainDeadline how long a shutdown waits for hand-overs
+ * @param drainLinger how long a shutdown keeps answering callers at the least
  * @param seed the seed of the random numbers
  */
 public record NodeSettings(
@@ -26,6 +27,7 @@
         OncePolicy oncePolicy,
         Duration jobDeadline,
         Duration drainDeadline,
+        Duration drainLinger,
         long seed) {
 
     /**
@@ -44,6 +46,7 @@
                 OncePolicy.ADAPTIVE,
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(20),
+                Duration.ofSeconds(2),
                 seed);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/node/PeerDesk.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/PeerDesk.java
@@ -151,6 +151,9 @@
     }
 
     private void tellShards(PeerMessage.TellTasks tell) {
+        if (coordination.config().current() == null) {
+            return;
+        }
         int shards = coordination.config().current().shards();
         tell.tasks()
                 .forEach(status -> host.shard(ShardUtil.shardOf(status.task().job(), shards))
@@ -167,15 +170,15 @@
 
     private void execute(ProcessId from, PeerMessage.Execute message) {
         PeerCall call = new PeerCall(from, message.id());
+        if (!firstTime(call)) {
+            return;
+        }
         Optional<KindRule> rule = rule(message.kind());
         Optional<RackService> rack = host.rack(message.rack());
         if (rule.isEmpty() || rack.isEmpty()) {
             reply(call, notRun(rule.isEmpty(), message.rack()));
             return;
         }
-        if (!firstTime(call)) {
-            return;
-        }
         Instant deadline = context.now().plusMillis(message.remainingMillis());
         cancellations.put(call, () -> {});
         Runnable cancel = rack.get().execute(rule.get(), message.payload(), deadline, outcome -> reply(call, outcome));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/node/SchedulerNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/SchedulerNode.java
@@ -55,6 +55,8 @@
 
     private Instant drainBy = Instant.MAX;
 
+    private Instant lingerUntil = Instant.MAX;
+
     private boolean drained;
 
     /**
@@ -180,6 +182,7 @@
         }
         context.audit(AuditType.DRAINING, context.self().value(), "hands over what it owns");
         drainBy = context.now().plus(settings.drainDeadline());
+        lingerUntil = context.now().plus(settings.drainLinger());
         callers.drain();
         coordination.membership().drain();
     }
@@ -189,7 +192,8 @@
             return;
         }
         boolean late = context.now().isAfter(drainBy);
-        if (late || host.empty()) {
+        boolean lingered = !context.now().isBefore(lingerUntil);
+        if (late || (lingered && host.empty())) {
             drained = true;
             coordination.stop();
             context.emit(new NodeEffect.Drained());
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/Step.java
@@ -0,0 +1,11 @@
+package org.flamingopitch.scheduler.session;
+
+/**
+ * A delivery at which a fault can strike.
+ *
+ * @param index counts all deliveries of a session
+ * @param type what is delivered
+ * @param process the entry host that sends or receives it
+ * @param worker the worker that sends or receives it, or empty
+ */
+record Step(int index, StepType type, int process, String worker) {}
