--- a/coordination/src/main/java/org/flamingopitch/coordination/journal/Journal.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/journal/Journal.java
@@ -17,7 +17,8 @@
 /**
  * The journal of one partition. Records are appended in groups, one write at a time, each under a new key that must not
  * exist yet. A successor writes a segment of its own before it acts, so that a write of the former owner that is still
- * under way can no longer take effect.
+ * under way can no longer take effect. A former owner that wakes late may still add a segment; the current owner writes
+ * on behind it, and segments of a lower epoch behind those of a higher one are void.
  *
  * @param <R> the type of the records
  */
@@ -29,15 +30,13 @@
 
     private static final String HEAD_PART = "head";
 
-    private static final String FENCE_SUFFIX = "/fence";
-
     private static final int DELETES_PER_COMMIT = 4;
 
     private final LoopContext context;
 
     private final String prefix;
 
-    private final String writer;
+    private final SegmentWriter writer;
 
     private final JournalSettings settings;
 
@@ -57,6 +56,8 @@
 
     private long nextSegment = 1;
 
+    private long replayedEpoch;
+
     private long writes;
 
     private long durableRecords;
@@ -84,7 +85,8 @@
      *
      * @param context the loop
      * @param prefix the prefix of the journal's keys
-     * @param writer names this owner and its epoch
+     * @param owner names this owner
+     * @param epoch the epoch of its ownership
      * @param settings the bounds
      * @param codec encodes the records
      * @param recordType the sealed type of the records
@@ -93,14 +95,15 @@
     public Journal(
             LoopContext context,
             String prefix,
-            String writer,
+            String owner,
+            long epoch,
             JournalSettings settings,
             JsonCodec codec,
             Class<R> recordType,
             JournalState<R> state) {
         this.context = context;
         this.prefix = prefix;
-        this.writer = writer;
+        this.writer = new SegmentWriter(epoch, owner);
         this.settings = settings;
         this.state = state;
         this.codec = new SegmentCodec<>(codec, recordType);
@@ -177,7 +180,7 @@
             return;
         }
         List<KeyValueEntry> segments = readHead(listed);
-        String fence = writer + FENCE_SUFFIX;
+        String fence = writer.fence();
         String fenceKey = segmentKey(nextSegment);
         context.keyValue(
                 new KeyValueRequest.Put(fenceKey, codec.encode(fence, List.of()), KeyValueRequest.ABSENT, null),
@@ -241,8 +244,14 @@
             obsolete.add(segment);
             return;
         }
-        if (codec.writeId(segment.value()).endsWith(FENCE_SUFFIX)) {
+        String writeId = codec.writeId(segment.value());
+        long epoch = SegmentWriter.epoch(writeId);
+        if (epoch < replayedEpoch) {
+            return;
+        }
+        if (epoch > replayedEpoch) {
             state.ownerChanged();
+            replayedEpoch = epoch;
         }
         codec.records(segment.value()).forEach(state::replay);
     }
@@ -264,7 +273,7 @@
         inFlight = takeBatch();
         inFlightSince = context.now();
         writes++;
-        String writeId = writer + "/" + writes;
+        String writeId = writer.write(writes);
         List<String> lines = inFlight.stream().map(PendingRecord::line).toList();
         write(writeId, codec.encode(writeId, lines));
     }
@@ -314,14 +323,18 @@
             retryWrite(writeId, segment);
             return;
         }
-        boolean own = read instanceof KeyValueResult.Found found
-                && codec.writeId(found.entry().value()).equals(writeId);
-        if (own) {
+        String found = read instanceof KeyValueResult.Found key
+                ? codec.writeId(key.entry().value())
+                : "";
+        if (found.equals(writeId)) {
             applyDurable(segment);
-            return;
+        } else if (writer.outranks(found)) {
+            nextSegment++;
+            write(writeId, segment);
+        } else {
+            closed = true;
+            state.fenced();
         }
-        closed = true;
-        state.fenced();
     }
 
     private void retryWrite(String writeId, String segment) {
@@ -357,7 +370,7 @@
         }
         snapshotting = true;
         long upTo = nextSegment - 1;
-        String name = upTo + "-" + Integer.toHexString(writer.hashCode());
+        String name = upTo + "-" + writer.epoch();
         List<String> parts = encodeSnapshot(name);
         writeSnapshotPart(new SnapshotWrite(name, upTo, parts, 0));
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/shard/ShardService.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/shard/ShardService.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.shard;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +34,8 @@
 
     private static final String STEP = "shard.admit";
 
+    private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+
     private static final JsonCodec CODEC = new JsonCodec(new JsonFactory(), ShardRecord.class, Outcome.class);
 
     private final ShardScope scope;
@@ -71,13 +74,20 @@
         this.scope = new ShardScope(context, shard, ownership, timings, port);
         this.once = new OnceKeeper(scope, policy);
         this.jobs = new JobKeeper(scope);
-        String writer = context.self() + "@" + epoch;
         String prefix = keyPrefix + shard + "/";
-        scope.journal(new Journal<>(context, prefix, writer, settings, CODEC, ShardRecord.class, this));
+        scope.journal(new Journal<>(
+                context, prefix, context.self().value(), epoch, settings, CODEC, ShardRecord.class, this));
     }
 
-    /** Reads the journal back. */
+    /** Reads the journal back, as soon as this process may act for the shard. */
     public void start() {
+        if (scope.closed()) {
+            return;
+        }
+        if (!scope.active()) {
+            scope.context().schedule(RETRY_DELAY, this::start);
+            return;
+        }
         Instant startedAt = scope.now();
         scope.journal().recover(() -> applyRecovered(startedAt));
     }
--- a/standins/src/main/java/org/flamingopitch/standins/worker/WorkerModel.java
+++ b/standins/src/main/java/org/flamingopitch/standins/worker/WorkerModel.java
@@ -224,6 +224,15 @@
         return List.copyOf(running.keySet());
     }
 
+    /**
+     * Returns the ended tasks that nobody has acknowledged yet.
+     *
+     * @return the tasks
+     */
+    public List<TaskKey> unacknowledgedTasks() {
+        return List.copyOf(ended.keySet());
+    }
+
     /**
      * Returns everything that happened.
      *
