--- /dev/null
+++ b/bench/src/main/java/org/flamingopitch/bench/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The benchmark commands. */
+package org.flamingopitch.bench.cli;
--- a/daemon/src/main/java/org/flamingopitch/daemon/demo/DemoPlatform.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/demo/DemoPlatform.java
@@ -55,6 +55,8 @@
 
     private KeyValueServer store;
 
+    private HostListServer hostList;
+
     /**
      * Creates a deployment.
      *
@@ -76,7 +78,7 @@
     @Override
     public void start() {
         store = started(new KeyValueServer(ANY_PORT, clock));
-        HostListServer hostList = started(new HostListServer(ANY_PORT));
+        hostList = started(new HostListServer(ANY_PORT));
         for (String dataCentre : DATA_CENTRES) {
             for (int i = 1; i <= workersPerCentre; i++) {
                 workers.add(started(new WorkerServer(dataCentre + "-w" + i, ANY_PORT, clock)));
@@ -134,6 +136,24 @@
         return store.address();
     }
 
+    /**
+     * Returns the number of shards in the configuration.
+     *
+     * @return the number
+     */
+    public int shards() {
+        return SHARDS;
+    }
+
+    /**
+     * Returns where the list of hosts is served.
+     *
+     * @return the address
+     */
+    public HostPort hostListAddress() {
+        return hostList.address();
+    }
+
     /**
      * Writes the inventory of this deployment and some rules.
      *
--- a/daemon/src/main/java/org/flamingopitch/daemon/entry/EntryHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/entry/EntryHost.java
@@ -119,6 +119,12 @@
         supervisor.stop();
     }
 
+    /** Ends at once, without a graceful shutdown, as a killed process does. */
+    public void crash() {
+        loop.stop();
+        supervisor.stop();
+    }
+
     /** Begins a graceful shutdown. */
     public void drain() {
         publish(new NodeEvent.DrainAsked());
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/session/Fault.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/Fault.java
@@ -70,7 +70,7 @@
     STORE_DOWN {
         @Override
         Fate strike(Session session, Step step) {
-            session.storeDown(Duration.ofSeconds(6));
+            session.store().storeDown(Duration.ofSeconds(6));
             return Fate.NORMAL;
         }
     },
@@ -78,7 +78,7 @@
     STORE_SLOW {
         @Override
         Fate strike(Session session, Step step) {
-            session.storeSlow(Duration.ofSeconds(6), Duration.ofMillis(900));
+            session.store().storeSlow(Duration.ofSeconds(6), Duration.ofMillis(900));
             return Fate.NORMAL;
         }
     },
@@ -86,7 +86,7 @@
     STORE_ANSWER_LOST {
         @Override
         Fate strike(Session session, Step step) {
-            session.loseStoreAnswers(step.process(), Duration.ofMillis(300));
+            session.store().loseStoreAnswers(step.process(), Duration.ofMillis(300));
             return Fate.NORMAL;
         }
     },
@@ -102,7 +102,7 @@
     WORKER_DEAD {
         @Override
         Fate strike(Session session, Step step) {
-            session.killWorker(step.worker());
+            session.workerCalls().killWorker(step.worker());
             return Fate.NORMAL;
         }
     },
@@ -110,7 +110,7 @@
     WORKER_SILENT {
         @Override
         Fate strike(Session session, Step step) {
-            session.silenceWorker(step.worker(), Duration.ofSeconds(13));
+            session.workerCalls().silenceWorker(step.worker(), Duration.ofSeconds(13));
             return Fate.NORMAL;
         }
     },
@@ -134,7 +134,7 @@
     OPERATOR_RACE {
         @Override
         Fate strike(Session session, Step step) {
-            session.raceOperators();
+            session.callers().raceOperators();
             return Fate.NORMAL;
         }
     },
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/session/SessionScript.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/SessionScript.java
@@ -25,17 +25,18 @@
                 urgent(session, 3_500 + 900 * (i - 6), i % hosts, i);
                 hold(session, 3_600 + 900 * (i - 6), (i + 1) % hosts, i, false);
             }
-            session.call(
-                    Duration.ofMillis(4_500),
-                    0,
-                    new CallRecord(
-                            "operator-2",
-                            new CallerRequest.ProposeConfig(
-                                    org.flamingopitch.coordination.api.JsonCodec.json()
-                                            .encode(session.configuration()),
-                                    1,
-                                    "operator-2"),
-                            ""));
+            session.callers()
+                    .call(
+                            Duration.ofMillis(4_500),
+                            0,
+                            new CallRecord(
+                                    "operator-2",
+                                    new CallerRequest.ProposeConfig(
+                                            org.flamingopitch.coordination.api.JsonCodec.json()
+                                                    .encode(session.configuration()),
+                                            1,
+                                            "operator-2"),
+                                    ""));
         }
     },
     /** More urgent requests at once than a rack has slots, with batch work beside them. */
@@ -63,14 +64,16 @@
         String payload = "{\"price\":" + number + ",\"workMillis\":40}";
         CallerRequest request =
                 new CallerRequest.Run(new KindName(Deployment.URGENT_REPEATABLE), null, Payload.ofText(payload));
-        session.call(Duration.ofMillis(atMillis), process, new CallRecord("price-" + number, request, payload));
+        session.callers()
+                .call(Duration.ofMillis(atMillis), process, new CallRecord("price-" + number, request, payload));
     }
 
     static void slowUrgent(Session session, long atMillis, int process, int number) {
         String payload = "{\"price\":" + number + ",\"workMillis\":1500}";
         CallerRequest request =
                 new CallerRequest.Run(new KindName(Deployment.URGENT_REPEATABLE), null, Payload.ofText(payload));
-        session.call(Duration.ofMillis(atMillis), process, new CallRecord("price-" + number, request, payload));
+        session.callers()
+                .call(Duration.ofMillis(atMillis), process, new CallRecord("price-" + number, request, payload));
     }
 
     static void hold(Session session, long atMillis, int process, int number, boolean minted) {
@@ -80,22 +83,27 @@
                 : new IdempotencyKey("hold-" + number);
         CallerRequest request =
                 new CallerRequest.Run(new KindName(Deployment.URGENT_ONCE), key, Payload.ofText(payload));
-        session.call(Duration.ofMillis(atMillis), process, new CallRecord("hold-" + number, request, payload));
+        session.callers()
+                .call(Duration.ofMillis(atMillis), process, new CallRecord("hold-" + number, request, payload));
     }
 
     static void job(Session session, long atMillis, int process, String key, String kind, long workMillis) {
         String payload = "{\"job\":\"" + key + "\",\"workMillis\":" + workMillis + "}";
         JobCommand command =
                 new JobCommand.Submit(new IdempotencyKey(key), new KindName(kind), Payload.ofText(payload));
-        session.call(
-                Duration.ofMillis(atMillis), process, new CallRecord(key, new CallerRequest.Job(command), payload));
+        session.callers()
+                .call(
+                        Duration.ofMillis(atMillis),
+                        process,
+                        new CallRecord(key, new CallerRequest.Job(command), payload));
     }
 
     static void evict(Session session, long atMillis, int process, String key) {
         JobCommand command = new JobCommand.Evict(new IdempotencyKey(key));
-        session.call(
-                Duration.ofMillis(atMillis),
-                process,
-                new CallRecord("evict-" + key, new CallerRequest.Job(command), ""));
+        session.callers()
+                .call(
+                        Duration.ofMillis(atMillis),
+                        process,
+                        new CallRecord("evict-" + key, new CallerRequest.Job(command), ""));
     }
 }
