--- a/bench/src/main/java/org/flamingopitch/bench/check/KnownRedCheck.java
+++ b/bench/src/main/java/org/flamingopitch/bench/check/KnownRedCheck.java
@@ -41,6 +41,7 @@
         KnownRedCheck check = new KnownRedCheck();
         Path root = Path.of(arguments[0]);
         check.readList(root.resolve(LIST_FILE));
+        requireOneEngine(root);
         check.readReports(root);
         check.report();
     }
@@ -66,6 +67,21 @@
         }
     }
 
+    /** Refuses test classes of two engines: the report of one would replace that of the other. */
+    private static void requireOneEngine(Path root) throws IOException {
+        try (Stream<Path> files = Files.walk(root)) {
+            List<Path> tests = files.filter(file -> file.toString().endsWith("Test.java"))
+                    .sorted()
+                    .toList();
+            for (Path test : tests) {
+                String text = Files.readString(test);
+                if (text.contains("net.jqwik.api.Property;") && text.contains("org.junit.jupiter.api.Test;")) {
+                    throw new IllegalStateException(test.getFileName() + " mixes two test engines");
+                }
+            }
+        }
+    }
+
     private static void addReports(Path folder, List<Path> reports) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             files.filter(file -> file.getFileName().toString().startsWith("TEST-"))
--- a/coordination/src/main/java/org/flamingopitch/coordination/journal/Journal.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/journal/Journal.java
@@ -7,7 +7,6 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.coordination.api.LoopContext;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
@@ -16,9 +15,8 @@
 
 /**
  * The journal of one partition. Records are appended in groups, one write at a time, each under a new key that must not
- * exist yet. A successor writes a segment of its own before it acts, so that a write of the former owner that is still
- * under way can no longer take effect. A former owner that wakes late may still add a segment; the current owner writes
- * on behind it, and segments of a lower epoch behind those of a higher one are void.
+ * exist yet. A successor writes a segment and the head of its own before it acts, so that neither a record nor a
+ * snapshot of the former owner that is still under way can take effect. An owner that finds a later epoch stops.
  *
  * @param <R> the type of the records
  */
@@ -26,12 +24,6 @@
 
     private static final String SEGMENT_PART = "segment/";
 
-    private static final String SNAPSHOT_PART = "snapshot/";
-
-    private static final String HEAD_PART = "head";
-
-    private static final int DELETES_PER_COMMIT = 4;
-
     private final LoopContext context;
 
     private final String prefix;
@@ -44,9 +36,9 @@
 
     private final SegmentCodec<R> codec;
 
-    private final Deque<PendingRecord> pending = new ArrayDeque<>();
+    private final JournalSnapshots<R> snapshots;
 
-    private final Deque<KeyValueEntry> obsolete = new ArrayDeque<>();
+    private final Deque<PendingRecord> pending = new ArrayDeque<>();
 
     private List<PendingRecord> inFlight = List.of();
 
@@ -54,6 +46,8 @@
 
     private Instant lastWrite = Instant.EPOCH;
 
+    private Instant verifiedAt = Instant.EPOCH;
+
     private long nextSegment = 1;
 
     private long replayedEpoch;
@@ -64,12 +58,6 @@
 
     private long writtenChars;
 
-    private int segmentsSinceSnapshot;
-
-    private JournalHead head = JournalHead.none();
-
-    private long headVersion = KeyValueRequest.ABSENT;
-
     private boolean ready;
 
     private boolean closed;
@@ -78,8 +66,6 @@
 
     private boolean failing;
 
-    private boolean snapshotting;
-
     /**
      * Creates a journal; it accepts records once it has recovered.
      *
@@ -107,6 +93,7 @@
         this.settings = settings;
         this.state = state;
         this.codec = new SegmentCodec<>(codec, recordType);
+        this.snapshots = new JournalSnapshots<>(context, prefix, writer, settings, state, this.codec);
     }
 
     /**
@@ -115,7 +102,11 @@
      * @param whenReady runs once records can be appended
      */
     public void recover(Runnable whenReady) {
-        context.keyValue(new KeyValueRequest.ListPrefix(prefix), result -> applyRecovered(result, whenReady));
+        Instant sentAt = context.now();
+        context.keyValue(new KeyValueRequest.ListPrefix(prefix), result -> {
+            verifiedAt = sentAt;
+            applyRecovered(result, whenReady);
+        });
     }
 
     /**
@@ -132,6 +123,7 @@
     /** Writes nothing more. */
     public void close() {
         closed = true;
+        snapshots.close();
     }
 
     /**
@@ -179,24 +171,34 @@
             context.schedule(settings.retryDelay(), () -> recover(whenReady));
             return;
         }
-        List<KeyValueEntry> segments = readHead(listed);
-        String fence = writer.fence();
-        String fenceKey = segmentKey(nextSegment);
+        List<KeyValueEntry> segments = readSegments(listed);
+        if (laterOwner(segments)) {
+            fence();
+            return;
+        }
         context.keyValue(
-                new KeyValueRequest.Put(fenceKey, codec.encode(fence, List.of()), KeyValueRequest.ABSENT, null),
-                written -> applyFenced(written, fence, listed, segments, whenReady));
+                new KeyValueRequest.Put(
+                        segmentKey(prefix, nextSegment),
+                        codec.encode(writer.fence(), List.of()),
+                        KeyValueRequest.ABSENT,
+                        null),
+                written -> applyFenced(written, listed, segments, whenReady));
     }
 
-    private List<KeyValueEntry> readHead(KeyValueResult.Listed listed) {
-        Optional<KeyValueEntry> headEntry = listed.entries().stream()
-                .filter(entry -> entry.key().equals(prefix + HEAD_PART))
-                .findFirst();
-        head = headEntry.map(entry -> JournalHead.decode(entry.value())).orElse(JournalHead.none());
-        headVersion = headEntry.map(KeyValueEntry::version).orElse(KeyValueRequest.ABSENT);
+    private boolean laterOwner(List<KeyValueEntry> segments) {
+        long latest = segments.stream()
+                .mapToLong(segment -> SegmentWriter.epoch(codec.writeId(segment.value())))
+                .max()
+                .orElse(0);
+        return Math.max(latest, snapshots.epoch()) > writer.epoch();
+    }
+
+    private List<KeyValueEntry> readSegments(KeyValueResult.Listed listed) {
+        snapshots.readHead(listed);
         List<KeyValueEntry> segments = new ArrayList<>(listed.entries());
         segments.removeIf(entry -> !entry.key().startsWith(prefix + SEGMENT_PART));
         segments.sort(Comparator.comparing(KeyValueEntry::key));
-        nextSegment = Math.max(head.upToSegment(), lastSegment(segments)) + 1;
+        nextSegment = Math.max(snapshots.upToSegment(), lastSegment(segments)) + 1;
         return segments;
     }
 
@@ -207,11 +209,7 @@
     }
 
     private void applyFenced(
-            KeyValueResult written,
-            String fence,
-            KeyValueResult.Listed listed,
-            List<KeyValueEntry> segments,
-            Runnable whenReady) {
+            KeyValueResult written, KeyValueResult.Listed listed, List<KeyValueEntry> segments, Runnable whenReady) {
         if (closed) {
             return;
         }
@@ -220,35 +218,31 @@
             return;
         }
         nextSegment++;
-        replaySnapshot(listed);
+        snapshots.claim(claimed -> applyClaimed(claimed, listed, segments, whenReady));
+    }
+
+    private void applyClaimed(
+            boolean claimed, KeyValueResult.Listed listed, List<KeyValueEntry> segments, Runnable whenReady) {
+        if (closed) {
+            return;
+        }
+        if (!claimed) {
+            context.schedule(settings.retryDelay(), () -> recover(whenReady));
+            return;
+        }
+        snapshots.replay(listed, segments.size());
         segments.forEach(this::replaySegment);
-        segmentsSinceSnapshot = segments.size();
         ready = true;
         whenReady.run();
         scheduleCommit();
     }
 
-    private void replaySnapshot(KeyValueResult.Listed listed) {
-        String live = prefix + SNAPSHOT_PART + head.snapshotName() + "/";
-        for (KeyValueEntry entry : listed.entries()) {
-            if (entry.key().startsWith(live)) {
-                codec.records(entry.value()).forEach(state::replay);
-            } else if (entry.key().startsWith(prefix + SNAPSHOT_PART)) {
-                obsolete.add(entry);
-            }
-        }
-    }
-
     private void replaySegment(KeyValueEntry segment) {
-        if (segmentNumber(segment.key()) <= head.upToSegment()) {
-            obsolete.add(segment);
-            return;
-        }
-        String writeId = codec.writeId(segment.value());
-        long epoch = SegmentWriter.epoch(writeId);
-        if (epoch < replayedEpoch) {
+        if (segmentNumber(segment.key()) <= snapshots.upToSegment()) {
+            snapshots.replace(segment.key());
             return;
         }
+        long epoch = SegmentWriter.epoch(codec.writeId(segment.value()));
         if (epoch > replayedEpoch) {
             state.ownerChanged();
             replayedEpoch = epoch;
@@ -294,21 +288,47 @@
             return;
         }
         lastWrite = context.now();
+        if (context.now().isAfter(verifiedAt.plus(settings.verifyAfter()))) {
+            verify(writeId, segment);
+            return;
+        }
+        Instant sentAt = context.now();
         context.keyValue(
-                new KeyValueRequest.Put(segmentKey(nextSegment), segment, KeyValueRequest.ABSENT, null),
-                result -> applyWritten(result, writeId, segment));
+                new KeyValueRequest.Put(segmentKey(prefix, nextSegment), segment, KeyValueRequest.ABSENT, null),
+                result -> applyWritten(result, writeId, segment, sentAt));
+    }
+
+    /** Checks that the next segment was not written, replaced by a snapshot and deleted while this owner was silent. */
+    private void verify(String writeId, String segment) {
+        Instant sentAt = context.now();
+        snapshots.refreshHead(answered -> {
+            if (!answered) {
+                retryWrite(writeId, segment);
+            } else if (snapshots.upToSegment() >= nextSegment) {
+                fence();
+            } else {
+                verifiedAt = sentAt;
+                write(writeId, segment);
+            }
+        });
+    }
+
+    private void fence() {
+        close();
+        state.fenced();
     }
 
-    private void applyWritten(KeyValueResult result, String writeId, String segment) {
+    private void applyWritten(KeyValueResult result, String writeId, String segment, Instant sentAt) {
         if (closed) {
             return;
         }
         if (result instanceof KeyValueResult.Written) {
+            verifiedAt = sentAt;
             applyDurable(segment);
             return;
         }
         if (result instanceof KeyValueResult.Conflict) {
-            String segmentKey = segmentKey(nextSegment);
+            String segmentKey = segmentKey(prefix, nextSegment);
             context.keyValue(new KeyValueRequest.Get(segmentKey), read -> applyConflicting(read, writeId, segment));
             return;
         }
@@ -328,12 +348,8 @@
                 : "";
         if (found.equals(writeId)) {
             applyDurable(segment);
-        } else if (writer.outranks(found)) {
-            nextSegment++;
-            write(writeId, segment);
         } else {
-            closed = true;
-            state.fenced();
+            fence();
         }
     }
 
@@ -346,120 +362,16 @@
         failing = false;
         inFlightSince = Instant.MAX;
         nextSegment++;
-        segmentsSinceSnapshot++;
         writtenChars += segment.length();
         List<PendingRecord> durable = inFlight;
         inFlight = List.of();
         durableRecords += durable.size();
         durable.forEach(record -> record.whenDurable().run());
-        deleteObsolete();
-        snapshotIfDue();
+        snapshots.segmentWritten(nextSegment - 1);
         scheduleCommit();
     }
 
-    private void deleteObsolete() {
-        for (int i = 0; i < DELETES_PER_COMMIT && !obsolete.isEmpty(); i++) {
-            KeyValueEntry entry = obsolete.poll();
-            context.keyValue(new KeyValueRequest.Delete(entry.key(), entry.version()), result -> {});
-        }
-    }
-
-    private void snapshotIfDue() {
-        if (snapshotting || segmentsSinceSnapshot < settings.segmentsPerSnapshot()) {
-            return;
-        }
-        snapshotting = true;
-        long upTo = nextSegment - 1;
-        String name = upTo + "-" + writer.epoch();
-        List<String> parts = encodeSnapshot(name);
-        writeSnapshotPart(new SnapshotWrite(name, upTo, parts, 0));
-    }
-
-    private List<String> encodeSnapshot(String name) {
-        List<String> parts = new ArrayList<>();
-        List<String> lines = new ArrayList<>();
-        int chars = 0;
-        for (R record : state.snapshot()) {
-            String line = codec.encodeRecord(record);
-            lines.add(line);
-            chars += line.length() + 1;
-            if (chars >= settings.maxSegmentChars()) {
-                parts.add(codec.encode(name, lines));
-                lines.clear();
-                chars = 0;
-            }
-        }
-        parts.add(codec.encode(name, lines));
-        return parts;
-    }
-
-    private void writeSnapshotPart(SnapshotWrite write) {
-        if (closed) {
-            return;
-        }
-        if (write.next() == write.parts().size()) {
-            writeHead(write);
-            return;
-        }
-        String key = snapshotKey(write.name(), write.next());
-        context.keyValue(
-                new KeyValueRequest.Put(key, write.parts().get(write.next()), KeyValueRequest.ABSENT, null),
-                result -> applySnapshotPart(result, write));
-    }
-
-    private void applySnapshotPart(KeyValueResult result, SnapshotWrite write) {
-        if (result.answered()) {
-            writeSnapshotPart(write.advanced());
-            return;
-        }
-        context.schedule(settings.retryDelay(), () -> writeSnapshotPart(write));
-    }
-
-    private void writeHead(SnapshotWrite write) {
-        JournalHead newHead =
-                new JournalHead(write.upTo(), write.name(), write.parts().size());
-        context.keyValue(
-                new KeyValueRequest.Put(prefix + HEAD_PART, newHead.encode(), headVersion, null),
-                result -> applyHead(result, newHead));
-    }
-
-    private void applyHead(KeyValueResult result, JournalHead newHead) {
-        snapshotting = false;
-        if (!(result instanceof KeyValueResult.Written written)) {
-            rereadHead();
-            return;
-        }
-        collectObsolete(newHead);
-        head = newHead;
-        headVersion = written.version();
-        segmentsSinceSnapshot = (int) (nextSegment - 1 - newHead.upToSegment());
-    }
-
-    private void rereadHead() {
-        context.keyValue(new KeyValueRequest.Get(prefix + HEAD_PART), this::applyHeadRead);
-    }
-
-    private void applyHeadRead(KeyValueResult result) {
-        if (result instanceof KeyValueResult.Found found) {
-            head = JournalHead.decode(found.entry().value());
-            headVersion = found.entry().version();
-        }
-    }
-
-    private void collectObsolete(JournalHead newHead) {
-        for (int part = 0; part < head.parts(); part++) {
-            obsolete.add(new KeyValueEntry(snapshotKey(head.snapshotName(), part), null, KeyValueRequest.ANY));
-        }
-        for (long segment = head.upToSegment() + 1; segment <= newHead.upToSegment(); segment++) {
-            obsolete.add(new KeyValueEntry(segmentKey(segment), null, KeyValueRequest.ANY));
-        }
-    }
-
-    private String snapshotKey(String name, int part) {
-        return prefix + SNAPSHOT_PART + name + "/" + part;
-    }
-
-    private String segmentKey(long number) {
+    static String segmentKey(String prefix, long number) {
         return prefix + SEGMENT_PART + String.format("%012d", number);
     }
 
@@ -468,10 +380,4 @@
     }
 
     private record PendingRecord(String line, Runnable whenDurable) {}
-
-    private record SnapshotWrite(String name, long upTo, List<String> parts, int next) {
-        SnapshotWrite advanced() {
-            return new SnapshotWrite(name, upTo, parts, next + 1);
-        }
-    }
 }
--- a/coordination/src/main/java/org/flamingopitch/coordination/journal/JournalSettings.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/journal/JournalSettings.java
@@ -10,13 +10,17 @@
  * @param slowAfter after which time without an answer the journal counts as unhealthy
  * @param maxSegmentChars the size of a value at the most
  * @param segmentsPerSnapshot how many segments are written before a snapshot replaces them
+ * @param retainReplaced how long replaced segments are kept, so that a late writer meets them
+ * @param verifyAfter after which silence an owner checks that its next segment was not replaced meanwhile
  */
 public record JournalSettings(
         Duration commitInterval,
         Duration retryDelay,
         Duration slowAfter,
         int maxSegmentChars,
-        int segmentsPerSnapshot) {
+        int segmentsPerSnapshot,
+        Duration retainReplaced,
+        Duration verifyAfter) {
 
     /**
      * Returns the settings for values of up to a megabyte and a budget of a few dozen writes a second.
@@ -25,6 +29,12 @@
      */
     public static JournalSettings defaults() {
         return new JournalSettings(
-                Duration.ofMillis(100), Duration.ofMillis(250), Duration.ofMillis(250), 400_000, 200);
+                Duration.ofMillis(100),
+                Duration.ofMillis(250),
+                Duration.ofMillis(250),
+                400_000,
+                200,
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(15));
     }
 }
--- a/coordination/src/main/java/org/flamingopitch/coordination/journal/SegmentWriter.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/journal/SegmentWriter.java
@@ -1,8 +1,7 @@
 package org.flamingopitch.coordination.journal;
 
 /**
- * Names the writes of one owner, so that its own writes, those of a successor and those of a former owner that woke
- * late can be told apart.
+ * Names the writes of one owner, so that an owner knows its own after a lost answer and the epoch of any other.
  *
  * @param epoch the epoch of the ownership
  * @param owner the owner
@@ -19,11 +18,6 @@
         return epoch + " " + owner + " " + number;
     }
 
-    /** Tells whether this owner came after the writer of another segment. */
-    boolean outranks(String otherWriteId) {
-        return epoch(otherWriteId) < epoch;
-    }
-
     static long epoch(String writeId) {
         int end = writeId.indexOf(SEPARATOR);
         return end < 0 ? Long.MAX_VALUE : Long.parseLong(writeId.substring(0, end));
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/config/ConfigServiceTest.java
@@ -0,0 +1,110 @@
+package org.flamingopitch.coordination.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.flamingopitch.coordination.api.LoopContext;
+import org.flamingopitch.coordination.kv.KeyValueRequest;
+import org.flamingopitch.coordination.kv.KeyValueResult;
+import org.flamingopitch.coordination.kv.StoreWatcher;
+import org.flamingopitch.coordination.loop.TimerQueue;
+import org.flamingopitch.coordination.ownership.FakeStore;
+
+/** Racing operators, lost answers and stale peers: one winner a version, and no follower ever goes back. */
+final class ConfigServiceTest {
+
+    @Property(tries = 300, seed = "20260105")
+    void acceptsOneChangeAVersionAndNeverGoesBack(@ForAll long seed, @ForAll @IntRange(max = 60) int lossPercent) {
+        SplittableRandom random = new SplittableRandom(seed);
+        FakeStore store = new FakeStore();
+        List<Follower> followers = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            followers.add(new Follower(store, "process-" + i, random, lossPercent));
+        }
+        List<Long> accepted = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Follower follower = followers.get(random.nextInt(3));
+            if (random.nextInt(3) == 0) {
+                propose(follower, accepted, i);
+            }
+            Follower stale = followers.get(random.nextInt(3));
+            stale.service.offer(follower.service.envelope());
+            store.advance(Duration.ofMillis(100));
+            followers.forEach(Follower::run);
+        }
+        followers.forEach(follower -> assertThat(follower.versions).isSorted().doesNotHaveDuplicates());
+        assertThat(new HashSet<>(accepted)).hasSize(accepted.size());
+    }
+
+    private static void propose(Follower follower, List<Long> accepted, int number) {
+        long expected = follower.service.envelope().version();
+        follower.service.propose("document-" + number, expected, "operator", outcome -> {
+            if (outcome instanceof ConfigOutcome.Accepted accept) {
+                accepted.add(accept.version());
+            }
+        });
+    }
+
+    private static final class Follower implements LoopContext {
+
+        private final FakeStore store;
+
+        private final SplittableRandom random;
+
+        private final int lossPercent;
+
+        private final TimerQueue timers = new TimerQueue();
+
+        private final List<Long> versions = new ArrayList<>();
+
+        private final ConfigService<String> service;
+
+        private Follower(FakeStore store, String name, SplittableRandom random, int lossPercent) {
+            this.store = store;
+            this.random = random;
+            this.lossPercent = lossPercent;
+            StoreWatcher watcher = new StoreWatcher(this, "config");
+            service = new ConfigService<>(this, watcher, "config", name, document -> document);
+            service.listen(document -> versions.add(service.envelope().version()));
+            watcher.start();
+        }
+
+        private void run() {
+            timers.runDue(store.now());
+        }
+
+        @Override
+        public Instant now() {
+            return store.now();
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable action) {
+            timers.add(now().plus(delay), action);
+        }
+
+        @Override
+        public void keyValue(KeyValueRequest request, Consumer<KeyValueResult> handler) {
+            boolean watch = request instanceof KeyValueRequest.Watch;
+            boolean lost = !watch && random.nextInt(100) < lossPercent;
+            boolean effect = !lost || random.nextBoolean();
+            if (effect) {
+                store.call(
+                        request,
+                        result -> schedule(
+                                Duration.ofMillis(10), () -> handler.accept(lost ? FakeStore.failed() : result)));
+            } else {
+                schedule(Duration.ofMillis(10), () -> handler.accept(FakeStore.failed()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration service. */
+package org.flamingopitch.coordination.config;
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/journal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the journal. */
+package org.flamingopitch.coordination.journal;
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the lease guard. */
+package org.flamingopitch.coordination.lease;
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/once/OnceTableTest.java
@@ -0,0 +1,53 @@
+package org.flamingopitch.coordination.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Every waiter gets the first outcome exactly once; a key is remembered for its retention. */
+final class OnceTableTest {
+
+    private static final Instant START = Instant.parse("2026-01-05T06:00:00Z");
+
+    @Property(seed = "20260105")
+    void passesTheFirstOutcomeToEveryWaiterOnce(@ForAll @Size(max = 60) List<@IntRange(max = 11) Integer> actions) {
+        OnceTable<String> table = new OnceTable<>(Duration.ofHours(1));
+        Map<String, List<String>> received = new HashMap<>();
+        Map<String, String> first = new HashMap<>();
+        int waiters = 0;
+        for (int i = 0; i < actions.size(); i++) {
+            IdempotencyKey key = new IdempotencyKey("key-" + actions.get(i) % 4);
+            OnceTable.OnceEntry<String> entry = table.find(key).orElseGet(() -> table.add(key, START));
+            if (actions.get(i) < 8) {
+                waiters++;
+                entry.await(outcome -> received.computeIfAbsent(key.value(), each -> new ArrayList<>())
+                        .add(outcome));
+            } else {
+                String outcome = "outcome-" + i;
+                first.putIfAbsent(key.value(), outcome);
+                entry.finish(outcome);
+            }
+        }
+        received.forEach((key, outcomes) -> assertThat(outcomes).containsOnly(first.get(key)));
+        int served = received.values().stream().mapToInt(List::size).sum();
+        assertThat(served).isLessThanOrEqualTo(waiters);
+    }
+
+    @Property(seed = "20260105")
+    void remembersKeysForTheirRetention(@ForAll @IntRange(max = 7_200) int seconds) {
+        OnceTable<String> table = new OnceTable<>(Duration.ofHours(1));
+        IdempotencyKey key = new IdempotencyKey("key");
+        table.add(key, START);
+        table.expire(START.plusSeconds(seconds));
+        assertThat(table.find(key).isPresent()).isEqualTo(seconds < 3_600);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/once/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of at-most-once execution. */
+package org.flamingopitch.coordination.once;
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of ownership. */
+package org.flamingopitch.coordination.ownership;
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package org.flamingopitch.daemon.cli;
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the entry host. */
+package org.flamingopitch.daemon.entry;
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Rules that hold for all modules. */
+package org.flamingopitch.daemon;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/node/OwnerCalls.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/node/OwnerCalls.java
@@ -137,6 +137,11 @@
             return Optional.of(Outcome.unknown(ROUTE_STEP, "rack owner", CONNECTION_LOST));
         }
 
+        @Override
+        public boolean claimsNotRun(Outcome answer) {
+            return answer instanceof Outcome.NotRun;
+        }
+
         @Override
         public Outcome timedOut(boolean mayHaveRun) {
             return outcomeAtDeadline(mayHaveRun, "rack owner");
@@ -188,6 +193,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public boolean claimsNotRun(Outcome answer) {
+            return answer instanceof Outcome.NotRun;
+        }
+
         @Override
         public Outcome timedOut(boolean mayHaveRun) {
             return outcomeAtDeadline(mayHaveRun, "shard owner");
@@ -235,6 +245,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public boolean claimsNotRun(JobAnswer answer) {
+            return answer instanceof JobAnswer.Refused;
+        }
+
         @Override
         public JobAnswer timedOut(boolean mayHaveRun) {
             if (!mayHaveRun) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/route/CallRouter.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/route/CallRouter.java
@@ -138,7 +138,8 @@
     private void applyAnswer(RoutedCall<A> call, A answer) {
         Verdict verdict = call.spec().verdict(answer);
         if (verdict == Verdict.FINAL) {
-            finish(call, answer);
+            boolean claimVoid = call.earlierTryInDoubt() && call.spec().claimsNotRun(answer);
+            finish(call, claimVoid ? call.spec().timedOut(true) : answer);
             return;
         }
         boolean inDoubt = verdict == Verdict.RETRY_IN_DOUBT;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/route/CallSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/route/CallSpec.java
@@ -57,6 +57,14 @@
      */
     Optional<A> connectionLost();
 
+    /**
+     * Tells whether an answer claims that nothing ran, which an earlier try in doubt makes void.
+     *
+     * @param answer the answer
+     * @return whether it claims that
+     */
+    boolean claimsNotRun(A answer);
+
     /**
      * Creates the answer for a caller that waited in vain.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/route/RoutedCall.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/route/RoutedCall.java
@@ -72,6 +72,10 @@
         return mayHaveRun || attempt != 0;
     }
 
+    boolean earlierTryInDoubt() {
+        return mayHaveRun;
+    }
+
     void begin(long newAttempt, Route route) {
         attempt = newAttempt;
         partition = route.partition();
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/GoldenSessionTest.java
@@ -0,0 +1,41 @@
+package org.flamingopitch.scheduler.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.approvaltests.Approvals;
+import org.approvaltests.core.Options;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Whole sessions of both deployments as golden files: normal, and under the main faults. */
+final class GoldenSessionTest {
+
+    private static final Duration LENGTH = Duration.ofSeconds(16);
+
+    @ParameterizedTest
+    @CsvSource({
+        "MINIATURAS, OPERATOR_RACE, -1",
+        "MINIATURAS, PROCESS_KILLED, 900",
+        "MINIATURAS, WORKER_DEAD, 1211",
+        "MINIATURAS, HOST_LEAVING, 1211",
+        "SONDHYA, OPERATOR_RACE, -1",
+        "SONDHYA, PROCESS_FROZEN_BEFORE_WRITE, 900",
+        "SONDHYA, STORE_DOWN, 900",
+        "SONDHYA, LINK_CUT_BOTH_WAYS, 900",
+        "SONDHYA, PROCESS_DRAINED, 900",
+    })
+    void isTheSameAsTheGoldenFile(Deployment deployment, Fault fault, int step) {
+        List<FaultAt> faults = step < 0 ? List.of() : List.of(new FaultAt(fault, step));
+        Session session = new Session(deployment, UnaryOperator.identity(), faults, Sabotage.NONE);
+        session.start();
+        SessionScript.MIXED.play(session);
+        session.runUntil(LENGTH);
+        assertThat(session.log().lines()).isNotEmpty();
+        String name = step < 0 ? "WITHOUT_FAULT" : fault.name();
+        Options options = new Options().forFile().withBaseName("GoldenSessionTest." + deployment + "." + name);
+        Approvals.verify(String.join("\n", session.log().lines()) + "\n", options);
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/OncePolicyShareTest.java
@@ -0,0 +1,96 @@
+package org.flamingopitch.scheduler.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Locale;
+import org.flamingopitch.coordination.once.OncePolicy;
+import org.flamingopitch.scheduler.model.Outcome;
+import org.flamingopitch.scheduler.node.CallerAnswer;
+import org.flamingopitch.scheduler.node.NodeSettings;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What callers of holds are told under each policy and fault; every policy keeps the promises. */
+final class OncePolicyShareTest {
+
+    private static final List<Fault> FAULTS = List.of(
+            Fault.OPERATOR_RACE,
+            Fault.PROCESS_KILLED,
+            Fault.HOST_LOST,
+            Fault.PROCESS_FROZEN,
+            Fault.PROCESS_DRAINED,
+            Fault.STORE_DOWN,
+            Fault.STORE_SLOW,
+            Fault.LINK_CUT_BOTH_WAYS);
+
+    private static final int STRIDE = 16;
+
+    @ParameterizedTest
+    @EnumSource(OncePolicy.class)
+    void tellsHoldsApart(OncePolicy policy) {
+        FaultMatrix matrix =
+                new FaultMatrix(Deployment.SMALL, SessionScript.MIXED, plain -> with(plain, policy), Sabotage.NONE);
+        for (Fault fault : FAULTS) {
+            Shares shares = new Shares();
+            List<Step> steps = matrix.steps();
+            for (int i = 0; i < steps.size(); i += STRIDE) {
+                Session session =
+                        matrix.run(List.of(new FaultAt(fault, steps.get(i).index())));
+                assertThat(SessionCheck.check(session)).isEmpty();
+                session.log().calls().forEach(shares::add);
+            }
+            System.out.println("holds under " + policy + " " + fault + ": " + shares);
+        }
+    }
+
+    private static NodeSettings with(NodeSettings plain, OncePolicy policy) {
+        return new NodeSettings(
+                plain.self(),
+                plain.lease(),
+                plain.timings(),
+                plain.journal(),
+                policy,
+                plain.jobDeadline(),
+                plain.drainDeadline(),
+                plain.drainLinger(),
+                plain.seed());
+    }
+
+    private static final class Shares {
+
+        private int done;
+
+        private int notRun;
+
+        private int unknown;
+
+        private void add(CallRecord call) {
+            if (!call.name().startsWith("hold-") || call.replies().isEmpty()) {
+                return;
+            }
+            CallRecord.Reply last = call.replies().get(call.replies().size() - 1);
+            if (!(last.answer() instanceof CallerAnswer.RunAnswer run)) {
+                unknown++;
+            } else if (run.outcome() instanceof Outcome.Done) {
+                done++;
+            } else if (run.outcome() instanceof Outcome.NotRun) {
+                notRun++;
+            } else {
+                unknown++;
+            }
+        }
+
+        @Override
+        public String toString() {
+            double all = (done + notRun + unknown) / 100.0;
+            return String.format(
+                    Locale.ROOT,
+                    "%.1f%% done, %.1f%% not run, %.1f%% unknown of %.0f",
+                    done / all,
+                    notRun / all,
+                    unknown / all,
+                    all * 100);
+        }
+    }
+}
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpReply.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpReply.java
@@ -27,6 +27,9 @@
     /** No such resource. */
     public static final int NOT_FOUND = 404;
 
+    /** The path does not take this method. */
+    public static final int METHOD_NOT_ALLOWED = 405;
+
     /** The state does not allow it. */
     public static final int CONFLICT = 409;
 
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpRoutes.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpRoutes.java
@@ -15,10 +15,12 @@
 
     /** Creates routes that answer other paths with an error. */
     public HttpRoutes() {
-        routing.setFallbackHandler(exchange -> new HttpCall(exchange, new byte[0])
-                .answer(HttpReply.error(HttpReply.NOT_FOUND, "no such path: " + exchange.getRequestPath())));
-        routing.setInvalidMethodHandler(exchange -> new HttpCall(exchange, new byte[0])
-                .answer(HttpReply.error(405, "method " + exchange.getRequestMethod() + " is not allowed here")));
+        routing.setFallbackHandler(
+                exchange -> refuse(exchange, HttpReply.NOT_FOUND, "no such path: " + exchange.getRequestPath()));
+        routing.setInvalidMethodHandler(exchange -> refuse(
+                exchange,
+                HttpReply.METHOD_NOT_ALLOWED,
+                "method " + exchange.getRequestMethod() + " is not allowed here"));
     }
 
     /**
@@ -34,6 +36,11 @@
         return this;
     }
 
+    private static void refuse(HttpServerExchange exchange, int status, String error) {
+        HttpCall call = new HttpCall(exchange, new byte[0]);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> call.answer(HttpReply.error(status, error)));
+    }
+
     HttpHandler handler() {
         return routing;
     }
