--- a/daemon/src/main/java/org/flamingopitch/daemon/entry/Ticker.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/entry/Ticker.java
@@ -10,7 +10,7 @@
 /** Tells the core at short intervals that time has passed. */
 final class Ticker implements Service {
 
-    private static final long INTERVAL_MILLIS = 10;
+    private static final long INTERVAL_MILLIS = 20;
 
     private final Consumer<NodeEvent> events;
 
