Run on the users' platform: cell owner, adapter and host, thin

Ruled out: moving racks and shards over (two messages more a start, and peer promises that the platform's fences make needless). Change: a cell has one owner, elected in the store; records of jobs and starts in conditional transactions; worker orders under a fence; the adapter in platform/.

--- a/coordination/src/main/java/org/flamingopitch/coordination/api/JsonCodec.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/api/JsonCodec.java
@@ -15,6 +15,8 @@
 
     private static final JsonCodec JSON = new JsonCodec(new JsonFactory());
 
+    private static final JsonCodec COMPACT = new JsonCodec(new JsonFactory()).allowingAbsentNumbers();
+
     private final ObjectMapper mapper;
 
     /**
@@ -44,6 +46,25 @@
         return JSON;
     }
 
+    /**
+     * Returns the codec for JSON records that leave out numbers that are zero and flags that are not set.
+     *
+     * @return a shared codec
+     */
+    public static JsonCodec compact() {
+        return COMPACT;
+    }
+
+    /**
+     * Reads numbers and flags that are absent as zero and false.
+     *
+     * @return this codec
+     */
+    public JsonCodec allowingAbsentNumbers() {
+        mapper.disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+        return this;
+    }
+
     /**
      * Returns the mapper behind this codec.
      *
--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueRequest.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueRequest.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.coordination.kv;
 
 import java.time.Duration;
+import java.util.List;
 
 /** A call to the key-value service. */
 public sealed interface KeyValueRequest {
@@ -96,4 +97,31 @@
      * @param leaseId the lease
      */
     record RevokeLease(String leaseId) implements KeyValueRequest {}
+
+    /**
+     * Changes several keys at once, or nothing.
+     *
+     * @param conditions the versions that keys must have
+     * @param writes the keys to write
+     * @param deletions the keys to delete
+     */
+    record Transaction(List<Condition> conditions, List<Write> writes, List<String> deletions)
+            implements KeyValueRequest {}
+
+    /**
+     * A key must have a version.
+     *
+     * @param key the key
+     * @param version the version, or {@link #ABSENT}
+     */
+    record Condition(String key, long version) {}
+
+    /**
+     * Writes a key.
+     *
+     * @param key the key
+     * @param value the value
+     * @param leaseId the lease with whose end the key is deleted, or null
+     */
+    record Write(String key, String value, String leaseId) {}
 }
--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
@@ -55,6 +55,13 @@
      */
     record Leased(String leaseId) implements KeyValueResult {}
 
+    /**
+     * A condition of a transaction does not hold; nothing was written.
+     *
+     * @param actual the keys of the conditions as they are; those that do not exist are missing
+     */
+    record ConditionFailed(List<KeyValueEntry> actual) implements KeyValueResult {}
+
     /** The lease has ended. */
     record LeaseEnded() implements KeyValueResult {}
 
--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -14,7 +14,8 @@
 /** Follows all keys with a prefix: one list call, then one waiting watch at a time; versions never go back. */
 public final class StoreWatcher {
 
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+    /** How long one waiting call lasts at the most. */
+    public static final Duration DEFAULT_WAIT = Duration.ofSeconds(10);
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
@@ -22,6 +23,8 @@
 
     private final String prefix;
 
+    private final Duration watchWait;
+
     private final Map<String, KeyValueEntry> entries = new HashMap<>();
 
     private final List<Consumer<KeyValueEntry>> listeners = new ArrayList<>();
@@ -45,8 +48,20 @@
      * @param prefix the prefix of the keys
      */
     public StoreWatcher(LoopContext context, String prefix) {
+        this(context, prefix, DEFAULT_WAIT);
+    }
+
+    /**
+     * Creates a watcher.
+     *
+     * @param context the loop
+     * @param prefix the prefix of the keys
+     * @param watchWait how long one waiting call lasts; a silent connection is noticed only after it
+     */
+    public StoreWatcher(LoopContext context, String prefix, Duration watchWait) {
         this.context = context;
         this.prefix = prefix;
+        this.watchWait = watchWait;
     }
 
     /**
@@ -115,7 +130,7 @@
         if (stopped) {
             return;
         }
-        context.keyValue(new KeyValueRequest.Watch(prefix, revision, WATCH_WAIT), this::applyResult);
+        context.keyValue(new KeyValueRequest.Watch(prefix, revision, watchWait), this::applyResult);
     }
 
     private void applyResult(KeyValueResult result) {
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -0,0 +1,181 @@
+package org.flamingopitch.daemon.cell;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.ProcessId;
+import org.flamingopitch.coordination.api.TimeSource;
+import org.flamingopitch.coordination.loop.SingleWriterLoop;
+import org.flamingopitch.coordination.supervisor.Service;
+import org.flamingopitch.coordination.supervisor.Supervisor;
+import org.flamingopitch.platform.CallerFront;
+import org.flamingopitch.platform.ConfigurationSource;
+import org.flamingopitch.platform.PlatformSettings;
+import org.flamingopitch.platform.StoreClient;
+import org.flamingopitch.platform.WorkerClient;
+import org.flamingopitch.platform.WorkerDirectory;
+import org.flamingopitch.scheduler.cell.entry.CallerCall;
+import org.flamingopitch.scheduler.cell.entry.CallerReply;
+import org.flamingopitch.scheduler.cell.entry.CellNode;
+import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
+import org.flamingopitch.scheduler.cell.entry.OwnerLink;
+import org.flamingopitch.scheduler.cell.owner.JobAnswer;
+import org.flamingopitch.scheduler.cell.owner.JobRequest;
+import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
+import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpClient;
+import org.flamingopitch.transport.http.HttpRoutes;
+import org.flamingopitch.transport.http.HttpServer;
+import org.flamingopitch.transport.peer.RequestOutcome;
+import org.flamingopitch.transport.peer.RequestTransport;
+
+/** One host of the system: its connections, and the core that decides. */
+public final class CellHost implements Service, OwnerLink {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final int LOOP_CAPACITY = 8_192;
+
+    /** How late a timer may be; each wake-up of an idle host is charged. */
+    private static final Duration IDLE_TIME = Duration.ofMillis(25);
+
+    private final ProcessId id;
+
+    private final HttpClient http;
+
+    private final HttpServer callers;
+
+    private final RequestTransport peers;
+
+    private final SingleWriterLoop<Runnable> loop;
+
+    private final HostContext context;
+
+    private final CellNode node;
+
+    private final ConfigurationSource configurations;
+
+    private final Supervisor supervisor;
+
+    private final JobCodec codec = new JobCodec();
+
+    private volatile boolean ready;
+
+    private volatile boolean draining;
+
+    /**
+     * Creates a host.
+     *
+     * @param settings what the platform tells about it
+     * @param clock the steady clock
+     * @param timeOfDay the time of day
+     * @param onFailure learns of a failure after which the process must end
+     */
+    public CellHost(PlatformSettings settings, TimeSource clock, Clock timeOfDay, Consumer<String> onFailure) {
+        id = new ProcessId(settings.hostName() + "." + Long.toString(timeOfDay.millis(), Character.MAX_RADIX));
+        http = new HttpClient("platform-client", clock);
+        StoreClient store = new StoreClient(http, settings.store());
+        context = new HostContext(clock, timeOfDay, store, new WorkerClient(http, clock), new WorkerDirectory(store));
+        loop = new SingleWriterLoop<>(
+                "core", LOOP_CAPACITY, this::apply, IDLE_TIME, this::afterBatch, error -> failed(error, onFailure));
+        context.attach(loop);
+        HostPort peerAddress = new HostPort(settings.ip(), settings.peerPort());
+        peers = new RequestTransport(peerAddress, this::asked);
+        node = new CellNode(context, this, new OwnerRecord(id, peerAddress.toString()), settings.timings());
+        CallerFront front = new CallerFront(settings.readiness().port(), () -> ready, () -> draining, this::handle);
+        callers = new HttpServer(
+                "callers",
+                settings.callers(),
+                List.of(settings.readiness()),
+                new HttpRoutes().otherwise(front::handle),
+                1);
+        configurations = new ConfigurationSource(context, node::configure);
+        supervisor = new Supervisor("host", clock, onFailure);
+        supervisor.add(loop);
+        supervisor.add(http);
+        supervisor.add(callers);
+        supervisor.add(peers);
+    }
+
+    @Override
+    public String name() {
+        return "host";
+    }
+
+    /**
+     * Returns the id of this process.
+     *
+     * @return the id
+     */
+    public ProcessId id() {
+        return id;
+    }
+
+    @Override
+    public void start() {
+        supervisor.start();
+        loop.publish(() -> {
+            node.start();
+            configurations.start();
+        });
+    }
+
+    /** Stops to take the cell, hands it over if it is owned, and answers open connections on. */
+    public void drain() {
+        draining = true;
+        ready = false;
+        loop.publish(node::drain);
+    }
+
+    @Override
+    public void stop() {
+        supervisor.stop();
+    }
+
+    @Override
+    public void forward(OwnerRecord owner, JobRequest request, Duration timeout, Consumer<ForwardOutcome> handler) {
+        peers.send(HostPort.parse(owner.address()), codec.encode(request), timeout, outcome -> {
+            ForwardOutcome forwarded = decode(outcome);
+            loop.publish(() -> handler.accept(forwarded));
+        });
+    }
+
+    private ForwardOutcome decode(RequestOutcome outcome) {
+        if (outcome instanceof RequestOutcome.Answered answered) {
+            return new ForwardOutcome.Answered(codec.decodeAnswer(answered.body()));
+        }
+        if (outcome instanceof RequestOutcome.Lost lost) {
+            return new ForwardOutcome.Lost(lost.detail());
+        }
+        return new ForwardOutcome.NotSent(((RequestOutcome.NotSent) outcome).detail());
+    }
+
+    private void asked(byte[] body, Consumer<byte[]> answer) {
+        JobRequest request = codec.decodeRequest(body);
+        Consumer<JobAnswer> reply = each -> answer.accept(codec.encode(each));
+        loop.publish(() -> node.answerPeer(request, reply));
+    }
+
+    private void handle(CallerCall call, Consumer<CallerReply> reply) {
+        loop.publish(() -> node.handle(call, reply));
+    }
+
+    private void apply(Runnable event) {
+        context.advance();
+        event.run();
+    }
+
+    private void afterBatch() {
+        context.advance();
+        context.runTimers();
+        node.tick();
+        ready = !draining && node.ready();
+    }
+
+    private static void failed(Throwable error, Consumer<String> onFailure) {
+        LOGGER.atSevere().withCause(error).log("event=core_failed");
+        onFailure.accept("core: " + error);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/package-info.java
@@ -0,0 +1,2 @@
+/** A host of the system on the users' platform. */
+package org.flamingopitch.daemon.cell;
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/CommandName.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/CommandName.java
@@ -9,6 +9,8 @@
 public enum CommandName {
     /** Runs an entry host. */
     SERVE(ServeCommand::new),
+    /** Runs a host on the users' platform. */
+    FRONT(FrontCommand::new),
     /** Checks documents without starting anything. */
     CHECK(CheckCommand::new),
     /** Shows and changes the configuration. */
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerLink.java
@@ -0,0 +1,20 @@
+package org.flamingopitch.scheduler.cell.entry;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.owner.JobRequest;
+import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
+
+/** The way to the owner of the cell on another host. */
+public interface OwnerLink {
+
+    /**
+     * Forwards a request.
+     *
+     * @param owner the owner
+     * @param request the request
+     * @param timeout how long to wait for the answer
+     * @param handler receives the outcome exactly once, in the single-writer loop
+     */
+    void forward(OwnerRecord owner, JobRequest request, Duration timeout, Consumer<ForwardOutcome> handler);
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a caller's request from any host to the owner of the cell. */
+package org.flamingopitch.scheduler.cell.entry;
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
@@ -0,0 +1,29 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.flamingopitch.scheduler.cell.model.QueueName;
+
+/** Learns how far the callers' estimates are off, by queue; answers estimates that are wrong by up to 90 %. */
+final class DurationEstimates {
+
+    /** Weight of the newest run in the average. */
+    private static final double SMOOTHING = 0.05;
+
+    private final Map<QueueName, Double> ratios = new HashMap<>();
+
+    /** Notes a run that was done; returns how many times as long as expected it took. */
+    double learn(QueueName queue, long estimateMillis, long actualMillis) {
+        if (estimateMillis <= 0) {
+            return 1;
+        }
+        double ratio = (double) actualMillis / estimateMillis;
+        double expected = ratios.getOrDefault(queue, ratio);
+        ratios.put(queue, expected * (1 - SMOOTHING) + ratio * SMOOTHING);
+        return expected <= 0 ? 1 : ratio / expected;
+    }
+
+    long expectedMillis(QueueName queue, long estimateMillis) {
+        return (long) (estimateMillis * ratios.getOrDefault(queue, 1.0));
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -0,0 +1,85 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.flamingopitch.scheduler.cell.model.JobId;
+import org.flamingopitch.scheduler.cell.model.JobState;
+import org.flamingopitch.scheduler.cell.model.TaskRef;
+
+/** The jobs of a cell. */
+final class JobTable {
+
+    private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+
+    Job job(JobId id) {
+        return jobs.get(id);
+    }
+
+    void add(Job job) {
+        jobs.put(job.id(), job);
+    }
+
+    void remove(Job job) {
+        jobs.remove(job.id());
+    }
+
+    Collection<Job> all() {
+        return jobs.values();
+    }
+
+    List<Job> open() {
+        List<Job> open = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            if (job.open()) {
+                open.add(job);
+            }
+        }
+        return open;
+    }
+
+    Task task(TaskRef ref) {
+        Job job = jobs.get(ref.job());
+        return job == null ? null : job.task(ref);
+    }
+
+    /** Rebuilds a job from its records; its runs are placed where the records say. */
+    static Job restore(JobId id, JobRecord record, ProgressRecord progress, Fleet fleet, Instant now, long nowMillis) {
+        Instant submittedAt = now.minusMillis(Math.max(0, nowMillis - record.submittedMillis()));
+        Job job = new Job(id, record.queue(), record.spec(), submittedAt, record.submittedMillis());
+        job.markDefinitionStored();
+        if (progress == null) {
+            return job;
+        }
+        for (TaskRecord each : progress.tasks()) {
+            Task task = job.task(new TaskRef(id, each.occurrence(), each.step(), each.index()));
+            if (task != null) {
+                restoreTask(job, task, each, fleet, now);
+            }
+        }
+        JobState end = progress.end();
+        if (end != null) {
+            job.end(end, now);
+            job.markTerminalDurable();
+        }
+        return job;
+    }
+
+    private static void restoreTask(Job job, Task task, TaskRecord record, Fleet fleet, Instant now) {
+        job.markStarted();
+        task.restoreLastRun(record.run());
+        task.failedRuns().addAll(record.failedRuns());
+        task.keepCheckpoint(record.checkpoint());
+        if (record.done()) {
+            task.finish();
+            task.step().countDone();
+        } else if (record.worker() != null) {
+            WorkerState worker = fleet.worker(record.worker());
+            Run run = task.restore(worker, record.run(), now);
+            worker.add(run);
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -0,0 +1,109 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.function.Predicate;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.model.Resources;
+
+/**
+ * Chooses a worker for a task, on what is reserved and not on what is estimated. Lasting tasks are packed, so that the
+ * tasks that fill find workers on which they disturb nobody; all others go where most processor time is left.
+ */
+final class Placement {
+
+    /** Outweighs any difference in processor time: a worker to use only when there is no other. */
+    private static final double LAST_RESORT = 1e9;
+
+    /** A worker that takes this many times as long as its peers is a last resort. */
+    private static final double SLOW = 2.5;
+
+    private final WorkerHealth health;
+
+    Placement(WorkerHealth health) {
+        this.health = health;
+    }
+
+    /** Returns the best worker that has room, or null. */
+    WorkerState choose(Task task, Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
+        WorkerState best = null;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        for (WorkerState worker : workers) {
+            if (!usable.test(worker) || !allowed(task, worker)) {
+                continue;
+            }
+            double score = score(task, worker, now);
+            if (score > bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private boolean allowed(Task task, WorkerState worker) {
+        StepSpec spec = task.step().spec();
+        if (!worker.entry().service().equals(task.job().queue().service())) {
+            return false;
+        }
+        if (spec.requiredLabel() != null && !worker.entry().labels().contains(spec.requiredLabel())) {
+            return false;
+        }
+        if (!spec.reserved().fitsInto(worker.free())) {
+            return false;
+        }
+        if (spec.fills() && unusedCpu(worker) < Math.min(spec.demand().milliCores(), fullCpu(worker))) {
+            return false;
+        }
+        return spec.maxPerWorker() == 0 || task.step().runsOn(worker) < spec.maxPerWorker();
+    }
+
+    private static long fullCpu(WorkerState worker) {
+        return worker.entry().capacity().milliCores();
+    }
+
+    /** Returns the processor time that neither reservations nor the tasks that fill take. */
+    static long unusedCpu(WorkerState worker) {
+        return worker.free().milliCores() - worker.fillCpuMillis();
+    }
+
+    private double score(Task task, WorkerState worker, Instant now) {
+        StepSpec spec = task.step().spec();
+        Resources free = worker.free();
+        double score = spec.lasting() ? -free.milliCores() : unusedCpu(worker);
+        boolean serving =
+                worker.runs().stream().anyMatch(run -> run.task().step().spec().serving());
+        if (spec.fills() && serving) {
+            score -= LAST_RESORT / 100;
+        }
+        if (spec.fills() && worker.fillLevel() < 100) {
+            score -= LAST_RESORT;
+        }
+        if (spec.preferredRack() != null && !worker.entry().labels().contains(spec.preferredRack())) {
+            score -= LAST_RESORT / 10;
+        }
+        if (health.slowness(worker.id()) > SLOW) {
+            score -= LAST_RESORT / 10;
+        }
+        if (task.avoids(worker.id()) || worker.entry().coldMillis() > 0) {
+            score -= LAST_RESORT;
+        }
+        if (spec.sameRack() && !nearOthers(task, worker)) {
+            score -= LAST_RESORT / 20;
+        }
+        return score;
+    }
+
+    private static boolean nearOthers(Task task, WorkerState worker) {
+        for (Task other : task.step().tasks()) {
+            if (other.run() != null && other.run().worker().known()) {
+                return other.run()
+                        .worker()
+                        .entry()
+                        .labels()
+                        .equals(worker.entry().labels());
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -0,0 +1,151 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+
+/** One start of a task on a worker; its room is reserved until its end is certain. */
+final class Run {
+
+    private final Task task;
+
+    private final WorkerState worker;
+
+    private final int number;
+
+    private final Instant placedAt;
+
+    private RunPhase phase;
+
+    private boolean recorded;
+
+    /** Since when the worker is known to have the run, or to have refused it for good; null if neither. */
+    private Instant settledAt;
+
+    private boolean orderInFlight;
+
+    private Instant retryAt;
+
+    private int unanswered;
+
+    private double percent;
+
+    private double figure = -1;
+
+    private Instant progressAt;
+
+    private int pacedTo = 100;
+
+    Run(Task task, WorkerState worker, int number, Instant placedAt) {
+        this.task = task;
+        this.worker = worker;
+        this.number = number;
+        this.placedAt = placedAt;
+        this.phase = RunPhase.PLANNED;
+        this.retryAt = placedAt;
+        this.progressAt = placedAt;
+    }
+
+    Task task() {
+        return task;
+    }
+
+    WorkerState worker() {
+        return worker;
+    }
+
+    int number() {
+        return number;
+    }
+
+    Instant placedAt() {
+        return placedAt;
+    }
+
+    RunPhase phase() {
+        return phase;
+    }
+
+    void enter(RunPhase next) {
+        phase = next;
+        unanswered = 0;
+        retryAt = Instant.MIN;
+    }
+
+    boolean recorded() {
+        return recorded;
+    }
+
+    void markRecorded() {
+        recorded = true;
+    }
+
+    Instant settledAt() {
+        return settledAt;
+    }
+
+    void settle(Instant at) {
+        settledAt = at;
+    }
+
+    void unsettle() {
+        settledAt = null;
+    }
+
+    boolean orderInFlight() {
+        return orderInFlight;
+    }
+
+    void orderSent() {
+        orderInFlight = true;
+    }
+
+    void orderAnswered() {
+        orderInFlight = false;
+    }
+
+    void orderLost(Instant retry) {
+        orderInFlight = false;
+        unanswered++;
+        retryAt = retry;
+    }
+
+    int unanswered() {
+        return unanswered;
+    }
+
+    Instant retryAt() {
+        return retryAt;
+    }
+
+    double percent() {
+        return percent;
+    }
+
+    double figure() {
+        return figure;
+    }
+
+    Instant progressAt() {
+        return progressAt;
+    }
+
+    void observe(double newPercent, double newFigure, Instant now) {
+        if (newPercent > percent || pacedTo == 0) {
+            progressAt = now;
+        }
+        percent = newPercent;
+        figure = newFigure;
+    }
+
+    int pacedTo() {
+        return pacedTo;
+    }
+
+    void paced(int level) {
+        pacedTo = level;
+    }
+
+    @Override
+    public String toString() {
+        return task.ref() + "/" + number;
+    }
+}
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpCall.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpCall.java
@@ -40,6 +40,42 @@
         return new String(body, StandardCharsets.UTF_8);
     }
 
+    /**
+     * Returns the method.
+     *
+     * @return its name
+     */
+    public String method() {
+        return exchange.getRequestMethod().toString();
+    }
+
+    /**
+     * Returns the path.
+     *
+     * @return the path without its query
+     */
+    public String path() {
+        return exchange.getRequestPath();
+    }
+
+    /**
+     * Returns the host name that the caller asked for.
+     *
+     * @return the name without a port
+     */
+    public String host() {
+        return exchange.getHostName();
+    }
+
+    /**
+     * Returns the port at which the request arrived.
+     *
+     * @return the port of this process
+     */
+    public int localPort() {
+        return exchange.getDestinationAddress().getPort();
+    }
+
     /**
      * Looks up a parameter of the query or the path.
      *
@@ -101,6 +137,11 @@
         });
     }
 
+    /** Closes the connection after the answer, so that the caller opens another, to another host. */
+    public void closeAfterAnswer() {
+        exchange.setPersistent(false);
+    }
+
     /**
      * Answers; a second answer is ignored.
      *
@@ -115,6 +156,10 @@
     private void send(HttpReply reply) {
         exchange.setStatusCode(reply.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
+        if (reply.retryAfter() != null) {
+            long seconds = Math.max(1, reply.retryAfter().plusMillis(999).toSeconds());
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+        }
         exchange.getResponseSender().send(ByteBuffer.wrap(reply.body()));
     }
 }
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpExchange.java
@@ -66,6 +66,12 @@
         request.setPath(order.path());
         request.getRequestHeaders().put(Headers.HOST, address.toString());
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, order.body().length);
+        if (order.body().length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        }
+        for (HttpHeader header : order.headers()) {
+            request.getRequestHeaders().put(HttpString.tryFromString(header.name()), header.value());
+        }
         timeout = ioThread.executeAfter(
                 () -> lost("http.wait", "no answer in time"), order.timeout().toMillis(), TimeUnit.MILLISECONDS);
         connection.sendRequest(request, this);
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpReply.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpReply.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.transport.http;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import org.flamingopitch.coordination.api.JsonCodec;
 
 /**
@@ -9,8 +10,9 @@
  * @param status the status code
  * @param contentType the media type of the body
  * @param body the body
+ * @param retryAfter when the caller should come back, or null
  */
-public record HttpReply(int status, String contentType, byte[] body) {
+public record HttpReply(int status, String contentType, byte[] body, Duration retryAfter) {
 
     /** Success. */
     public static final int OK = 200;
@@ -48,6 +50,29 @@
     /** No answer in time. */
     public static final int GATEWAY_TIMEOUT = 504;
 
+    /**
+     * Creates an answer without a time to come back.
+     *
+     * @param status the status code
+     * @param contentType the media type of the body
+     * @param body the body
+     */
+    public HttpReply(int status, String contentType, byte[] body) {
+        this(status, contentType, body, null);
+    }
+
+    /**
+     * Creates an answer to a request that was not carried out.
+     *
+     * @param status the status code
+     * @param error what is wrong
+     * @param retryAfter when the caller should come back
+     * @return the answer
+     */
+    public static HttpReply refusal(int status, String error, Duration retryAfter) {
+        return new HttpReply(status, "application/json", error(status, error).body(), retryAfter);
+    }
+
     /**
      * Creates an answer with JSON.
      *
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpRoutes.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpRoutes.java
@@ -38,6 +38,18 @@
         return this;
     }
 
+    /**
+     * Hands all requests that no path takes to one handler.
+     *
+     * @param handler receives the calls, in an I/O thread; must not block
+     * @return these routes
+     */
+    public HttpRoutes otherwise(Consumer<HttpCall> handler) {
+        routing.setFallbackHandler(new FullBodyHandler(handler));
+        routing.setInvalidMethodHandler(new FullBodyHandler(handler));
+        return this;
+    }
+
     private static void refuse(HttpServerExchange exchange, int status, String error) {
         HttpCall call = new HttpCall(exchange, new byte[0]);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> call.answer(HttpReply.error(status, error)));
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpServer.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpServer.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.flamingopitch.coordination.supervisor.Service;
 
 /** An HTTP server. */
@@ -20,6 +21,8 @@
 
     private final HostPort address;
 
+    private final List<HostPort> furtherAddresses;
+
     private final HttpRoutes routes;
 
     private final int ioThreads;
@@ -35,8 +38,23 @@
      * @param ioThreads the number of I/O threads
      */
     public HttpServer(String name, HostPort address, HttpRoutes routes, int ioThreads) {
+        this(name, address, List.of(), routes, ioThreads);
+    }
+
+    /**
+     * Creates a server that listens at several addresses.
+     *
+     * @param name its name in logs
+     * @param address where it listens first
+     * @param furtherAddresses where it listens besides
+     * @param routes the paths
+     * @param ioThreads the number of I/O threads
+     */
+    public HttpServer(
+            String name, HostPort address, List<HostPort> furtherAddresses, HttpRoutes routes, int ioThreads) {
         this.name = name;
         this.address = address;
+        this.furtherAddresses = furtherAddresses;
         this.routes = routes;
         this.ioThreads = ioThreads;
     }
@@ -48,9 +66,9 @@
 
     @Override
     public void start() {
-        server = Undertow.builder()
-                .addHttpListener(address.port(), address.host())
-                .setIoThreads(ioThreads)
+        Undertow.Builder builder = Undertow.builder().addHttpListener(address.port(), address.host());
+        furtherAddresses.forEach(each -> builder.addHttpListener(each.port(), each.host()));
+        server = builder.setIoThreads(ioThreads)
                 .setWorkerThreads(1)
                 .setDirectBuffers(false)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
--- a/transport/src/main/java/org/flamingopitch/transport/peer/PeerTransport.java
+++ b/transport/src/main/java/org/flamingopitch/transport/peer/PeerTransport.java
@@ -6,23 +6,19 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.flamingopitch.coordination.api.ProcessId;
 import org.flamingopitch.coordination.supervisor.Service;
 import org.flamingopitch.transport.http.HostPort;
@@ -37,10 +33,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    private static final int MAX_FRAME_BYTES = 3 << 20;
-
-    private static final int LENGTH_BYTES = 4;
-
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private static final long RETRY_MILLIS = 250;
@@ -237,16 +229,7 @@
         redialLater(peer);
     }
 
-    private ChannelHandler pipeline(java.util.function.Supplier<ChannelHandler> handler) {
-        return new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                channel.pipeline()
-                        .addLast(new FlushConsolidationHandler())
-                        .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(handler.get());
-            }
-        };
+    private static ChannelHandler pipeline(Supplier<ChannelHandler> handler) {
+        return new FramePipeline(handler);
     }
 }
