Fill beside serving tasks by learned interference

Cause: lasting work reserves three quarters of the processors and uses half; renders waited for 19 to 30 s at the median. Ruled out: a bound of each worker on filling, whose level swung; the host's processor (2 to 7 % of a core). Change: slack (target over response time) falls in proportion to what fills beside; its cost is learned by pair of images and kept in reserve; the worst disturber is paced first, what stands still goes elsewhere; one summary line of the cell every 2 s.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -55,7 +55,7 @@
         long capacity = 0;
         for (WorkerState worker : workers) {
             if (worker.known() && worker.entry().service().equals(queue.service()) && !worker.draining()) {
-                capacity += worker.entry().capacity().milliCores() - lastingCpu(worker);
+                capacity += worker.entry().capacity().milliCores() - lastingCpu(worker) / 2;
             }
         }
         return capacity;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OrderDesk.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OrderDesk.java
@@ -19,6 +19,8 @@
     /** A start that stays unanswered so often is given up: a stop then settles it. */
     private static final int START_ATTEMPTS = 2;
 
+    private static final int UNKNOWN_PACE = -1;
+
     private final CellContext context;
 
     private final long fence;
@@ -59,13 +61,13 @@
     }
 
     void pace(Run run, int percent) {
-        run.paced(percent);
+        run.paced(percent, context.now());
         WorkerOrder order = new WorkerOrder.Pace(run.task().ref(), run.number(), percent, fence);
         context.callWorker(run.worker().target(), order, answer -> {
             if (isFenced(answer)) {
                 listener.fenced(run.worker());
             } else if (!(answer instanceof WorkerAnswer.Done)) {
-                run.paced(-1);
+                run.paced(UNKNOWN_PACE, context.now());
             }
         });
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -18,10 +18,16 @@
     /** A worker that takes this many times as long as its peers is a last resort. */
     private static final double SLOW = 2.5;
 
+    /** Slack beyond what serving tasks keep, since their own load rises while a task runs beside them. */
+    private static final double SLACK_RESERVE = 0.35;
+
     private final WorkerHealth health;
 
-    Placement(WorkerHealth health) {
+    private final Interference interference;
+
+    Placement(WorkerHealth health, Interference interference) {
         this.health = health;
+        this.interference = interference;
     }
 
     /** Returns the best worker that has room, or null. */
@@ -29,7 +35,7 @@
         WorkerState best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (WorkerState worker : workers) {
-            if (!usable.test(worker) || !allowed(task, worker)) {
+            if (!usable.test(worker) || !allowed(task, worker, now)) {
                 continue;
             }
             double score = score(task, worker, now);
@@ -41,7 +47,7 @@
         return best;
     }
 
-    private boolean allowed(Task task, WorkerState worker) {
+    private boolean allowed(Task task, WorkerState worker, Instant now) {
         StepSpec spec = task.step().spec();
         if (!worker.entry().service().equals(task.job().queue().service())) {
             return false;
@@ -52,12 +58,25 @@
         if (!spec.reserved().fitsInto(worker.free())) {
             return false;
         }
-        if (spec.fills() && unusedCpu(worker) < Math.min(spec.demand().milliCores(), fullCpu(worker))) {
+        if (spec.fills() && !mayFill(spec, worker, now)) {
             return false;
         }
         return spec.maxPerWorker() == 0 || task.step().runsOn(worker) < spec.maxPerWorker();
     }
 
+    private boolean mayFill(StepSpec spec, WorkerState worker, Instant now) {
+        long wanted = Math.min(spec.demand().milliCores(), fullCpu(worker));
+        if (!serves(worker)) {
+            return unusedCpu(worker) >= wanted;
+        }
+        boolean room = unusedCpu(worker) + Interference.idleServingCpu(worker) >= wanted;
+        return room && interference.predict(worker, spec, now) >= PaceControl.KEPT_SLACK + SLACK_RESERVE;
+    }
+
+    private static boolean serves(WorkerState worker) {
+        return worker.runs().stream().anyMatch(run -> run.task().step().spec().serving());
+    }
+
     private static long fullCpu(WorkerState worker) {
         return worker.entry().capacity().milliCores();
     }
@@ -71,13 +90,8 @@
         StepSpec spec = task.step().spec();
         Resources free = worker.free();
         double score = spec.lasting() ? -free.milliCores() : unusedCpu(worker);
-        boolean serving =
-                worker.runs().stream().anyMatch(run -> run.task().step().spec().serving());
-        if (spec.fills() && serving) {
-            score -= LAST_RESORT / 100;
-        }
-        if (spec.fills() && worker.fillLevel() < 100) {
-            score -= LAST_RESORT;
+        if (spec.fills() && serves(worker)) {
+            score -= LAST_RESORT / 100 / (1 + interference.predict(worker, spec, now));
         }
         if (spec.preferredRack() != null && !worker.entry().labels().contains(spec.preferredRack())) {
             score -= LAST_RESORT / 10;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -32,8 +32,11 @@
 
     private Instant progressAt;
 
+    /** The share at which it works; negative if the worker did not confirm the last order. */
     private int pacedTo = 100;
 
+    private Instant pacedAt = Instant.MIN;
+
     Run(Task task, WorkerState worker, int number, Instant placedAt) {
         this.task = task;
         this.worker = worker;
@@ -140,8 +143,13 @@
         return pacedTo;
     }
 
-    void paced(int level) {
+    Instant pacedAt() {
+        return pacedAt;
+    }
+
+    void paced(int level, Instant now) {
         pacedTo = level;
+        pacedAt = now;
     }
 
     @Override
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -26,6 +26,8 @@
     /** A run without progress for this long, and for longer than expected, stands still. */
     private static final Duration STALL_TIME = Duration.ofMillis(2_500);
 
+    private static final int FULL_PACE = 100;
+
     private final CellContext context;
 
     private final CellTimings timings;
@@ -40,10 +42,14 @@
 
     private final WorkerHealth health = new WorkerHealth();
 
-    private final Placement placement = new Placement(health);
+    private final Interference interference = new Interference();
+
+    private final Placement placement = new Placement(health, interference);
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final CellSummary summary = new CellSummary();
+
     private final List<Runnable> doubts = new ArrayList<>();
 
     private CommitLog log;
@@ -62,7 +68,7 @@
         this.jobs = jobs;
         this.onFenced = onFenced;
         this.orders = new OrderDesk(context, fence, timings.maxLease(), this);
-        this.pacing = new PaceControl(orders);
+        this.pacing = new PaceControl(orders, interference);
     }
 
     /** Starts to act, after the records were read. */
@@ -151,6 +157,7 @@
             return;
         }
         tickedAt = now;
+        summary.writeIfDue(jobs.all(), fleet, context.timeOfDayMillis(), now);
         for (WorkerState worker : List.copyOf(fleet.workers())) {
             for (Run run : List.copyOf(worker.runs())) {
                 orders.retry(run);
@@ -186,7 +193,7 @@
                         run.task().step().spec().estimateMillis()));
         boolean late = now.isAfter(run.placedAt().plus(expected).plus(STALL_TIME));
         boolean stalled = now.isAfter(run.progressAt().plus(STALL_TIME)) && fleet.answering(run.worker());
-        boolean held = run.task().step().spec().fills() && run.worker().fillLevel() < 100;
+        boolean held = run.pacedTo() != FULL_PACE;
         if (!lasting && late && stalled && !held) {
             LOGGER.atWarning().log(
                     "event=stalled task=%s run=%d worker=%s percent=%.0f",
@@ -422,7 +429,8 @@
 
     @Override
     public void reportApplied(WorkerState worker) {
-        pacing.apply(worker);
+        interference.learn(worker, context.now());
+        pacing.apply(worker, context.now());
     }
 
     @Override
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -52,8 +52,6 @@
 
     private long acknowledgedEnd;
 
-    private int fillLevel = 100;
-
     private Resources reserved = Resources.NONE;
 
     private long fillCpuMillis;
@@ -205,14 +203,6 @@
         return fillCpuMillis;
     }
 
-    int fillLevel() {
-        return fillLevel;
-    }
-
-    void setFillLevel(int level) {
-        fillLevel = level;
-    }
-
     boolean alreadySeen(long number) {
         return number <= seenEnd;
     }
