Call a submission that is under way at its deadline in doubt

Ruled out: two owners at once; a forwarded request counted as not sent. Change: an attempt under way makes the answer 'in doubt'; passes of placing end after six steps without a place; admission asks the measured drain rate.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -131,6 +131,10 @@
         return !draining && desk.configuration().isPresent() && reachable;
     }
 
+    boolean owning() {
+        return cell != null;
+    }
+
     boolean askLocally(JobRequest request, Consumer<JobAnswer> answer) {
         if (cell == null) {
             return false;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
@@ -47,6 +47,9 @@
 
     private boolean inDoubt;
 
+    /** Whether an attempt may still be carried out. */
+    private boolean underWay;
+
     private boolean storeAsked;
 
     private boolean ended;
@@ -84,7 +87,9 @@
             giveUp();
             return;
         }
-        if (node.askLocally(request, this::answered)) {
+        if (node.owning()) {
+            underWay = true;
+            node.askLocally(request, this::answered);
             return;
         }
         Optional<OwnerRecord> owner = node.remoteOwner();
@@ -92,6 +97,7 @@
             waitForOwner(now);
             return;
         }
+        underWay = true;
         link.forward(owner.get(), request, ANSWER_TIMEOUT, this::forwarded);
     }
 
@@ -113,6 +119,7 @@
     }
 
     private void forwarded(ForwardOutcome outcome) {
+        underWay = false;
         if (outcome instanceof ForwardOutcome.Answered answered) {
             answered(answered.answer());
             return;
@@ -125,6 +132,7 @@
     }
 
     private void answered(JobAnswer answer) {
+        underWay = false;
         if (answer instanceof JobAnswer.InDoubt) {
             inDoubt = true;
             again();
@@ -144,7 +152,10 @@
 
     private void giveUp() {
         if (request instanceof JobRequest.AskPending || request instanceof JobRequest.Submit) {
-            end(inDoubt ? new JobAnswer.InDoubt() : new JobAnswer.Refused(Duration.ofSeconds(1), "no owner"));
+            end(
+                    inDoubt || underWay
+                            ? new JobAnswer.InDoubt()
+                            : new JobAnswer.Refused(Duration.ofSeconds(1), "no owner"));
             return;
         }
         end(new JobAnswer.InDoubt());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
-import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
  * Decides at once whether a job can still be served, from the work that waits before it and the processor time that is
@@ -22,17 +21,16 @@
 
     private Admission() {}
 
-    /** Returns when to come back, or nothing if the job is taken. */
+    /**
+     * Returns when to come back, or nothing if the job is taken.
+     *
+     * @param capacity the work that ends each millisecond, in thousandths of a core
+     */
     static Optional<Duration> refusal(
-            JobSpec spec,
-            QueueSpec queue,
-            Collection<Job> jobs,
-            Collection<WorkerState> workers,
-            DurationEstimates estimates) {
+            JobSpec spec, QueueSpec queue, Collection<Job> jobs, long capacity, DurationEstimates estimates) {
         if (spec.lasting() || spec.timed()) {
             return Optional.empty();
         }
-        long capacity = capacityMillis(queue, workers);
         if (capacity <= 0) {
             return Optional.empty();
         }
@@ -50,25 +48,6 @@
         return time.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : time;
     }
 
-    /** Returns the processor time a millisecond that lasting work leaves, in thousandths of a core. */
-    private static long capacityMillis(QueueSpec queue, Collection<WorkerState> workers) {
-        long capacity = 0;
-        for (WorkerState worker : workers) {
-            if (worker.known() && worker.entry().service().equals(queue.service()) && !worker.draining()) {
-                capacity += worker.entry().capacity().milliCores() - lastingCpu(worker) / 2;
-            }
-        }
-        return capacity;
-    }
-
-    private static long lastingCpu(WorkerState worker) {
-        return worker.runs().stream()
-                .map(run -> run.task().step().spec())
-                .filter(StepSpec::lasting)
-                .mapToLong(spec -> spec.reserved().milliCores())
-                .sum();
-    }
-
     /** Returns the waiting work of the same or a higher priority, in thousandths of a core times milliseconds. */
     private static long backlog(QueueSpec queue, Collection<Job> jobs, DurationEstimates estimates) {
         long backlog = 0;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -28,7 +28,7 @@
     private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(300);
 
     /** Placing looks at all jobs that wait, so that close changes are answered together. */
-    private static final Duration PLACE_INTERVAL = Duration.ofMillis(10);
+    private static final Duration PLACE_INTERVAL = Duration.ofMillis(25);
 
     private static final Duration RETRY_LATER = Duration.ofSeconds(1);
 
@@ -227,8 +227,8 @@
             answer.accept(new JobAnswer.Refused(RETRY_LATER, "the store does not answer"));
             return;
         }
-        Optional<Duration> refusal =
-                Admission.refusal(submit.spec(), submit.queue(), jobs.open(), fleet.workers(), keeper.estimates());
+        Optional<Duration> refusal = Admission.refusal(
+                submit.spec(), submit.queue(), jobs.open(), keeper.capacity(submit.queue()), keeper.estimates());
         if (refusal.isPresent()) {
             LOGGER.atInfo().log(
                     "event=refused job=%s queue=%s reason=backlog retry_ms=%d",
@@ -244,7 +244,7 @@
                 job.queue().name(),
                 job.spec().steps().size(),
                 jobs.all().size());
-        keeper.place();
+        keeper.requestPlacing();
         whenStored(job, () -> answer.accept(new JobAnswer.Accepted()), answer);
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -4,11 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.QueueName;
+import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.port.CellContext;
@@ -28,6 +31,9 @@
 
     private static final int FULL_PACE = 100;
 
+    /** Steps without a place after which a pass ends; those that follow are less urgent and seldom find one. */
+    private static final int MISSES_A_PASS = 6;
+
     private final CellContext context;
 
     private final CellTimings timings;
@@ -48,6 +54,8 @@
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final DrainRate drainRate = new DrainRate();
+
     private final CellSummary summary = new CellSummary();
 
     private final List<Runnable> doubts = new ArrayList<>();
@@ -219,11 +227,24 @@
                 waiting.add(job);
             }
         }
+        Map<Boolean, Integer> misses = new HashMap<>();
         for (Job job : JobOrder.sort(waiting, estimates, now)) {
-            placeJob(job, timeOfDay, now);
+            placeJob(job, timeOfDay, misses, now);
         }
     }
 
+    /** Returns the work of a queue's service that can end each millisecond, in thousandths of a core. */
+    long capacity(QueueSpec queue) {
+        long idle = 0;
+        for (WorkerState worker : fleet.workers()) {
+            boolean serves = worker.known() && worker.entry().service().equals(queue.service());
+            if (serves && fleet.usable(worker, context.now())) {
+                idle += Math.max(0, Placement.unusedCpu(worker));
+            }
+        }
+        return drainRate.perMilli(context.now()) + idle;
+    }
+
     private static boolean hasWaitingTask(Job job, long timeOfDay, Instant now) {
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
@@ -235,12 +256,18 @@
         return false;
     }
 
-    private void placeJob(Job job, long timeOfDay, Instant now) {
+    private void placeJob(Job job, long timeOfDay, Map<Boolean, Integer> misses, Instant now) {
         boolean placed = false;
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                if (!step.done() && step.open(timeOfDay)) {
-                    placed |= placeStep(step, now);
+                boolean fills = step.spec().fills();
+                boolean hopeless = misses.getOrDefault(fills, 0) >= MISSES_A_PASS;
+                if (hopeless || step.done() || !step.open(timeOfDay)) {
+                    continue;
+                }
+                placed |= placeStep(step, now);
+                if (step.waitingCount(now) > 0) {
+                    misses.merge(fills, 1, Integer::sum);
                 }
             }
         }
@@ -390,6 +417,12 @@
         task.finish();
         task.step().countDone();
         if (run != null) {
+            drainRate.add(
+                    task.step().spec().demand().milliCores()
+                            * estimates.expectedMillis(
+                                    task.job().queue().name(),
+                                    task.step().spec().estimateMillis()),
+                    context.now());
             long took = Duration.between(run.placedAt(), context.now()).toMillis();
             double slowness = estimates.learn(
                     task.job().queue().name(), task.step().spec().estimateMillis(), took);
