Serve the least work left first; end before the grace time

Cause: accepted renders waited behind all others (median 16 to 24 s), and processes outlived the time to stop. Ruled out: a slow owner (0.13 cores of 0.3 at most). Change: within a priority the least work left first; admission counts what goes before; a process halts when its last answers are out; less slack kept beside serving tasks.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.ProcessId;
@@ -41,8 +42,13 @@
     /** How late a timer may be; each wake-up of an idle host is charged. */
     private static final Duration IDLE_TIME = Duration.ofMillis(25);
 
+    /** Answers reach their callers within this time. */
+    private static final Duration CLOSING_MARGIN = Duration.ofMillis(150);
+
     private final ProcessId id;
 
+    private final TimeSource clock;
+
     private final HttpClient http;
 
     private final HttpServer callers;
@@ -65,6 +71,8 @@
 
     private volatile boolean draining;
 
+    private volatile Instant closingAt = Instant.MAX;
+
     /**
      * Creates a host.
      *
@@ -74,6 +82,7 @@
      * @param onFailure learns of a failure after which the process must end
      */
     public CellHost(PlatformSettings settings, TimeSource clock, Clock timeOfDay, Consumer<String> onFailure) {
+        this.clock = clock;
         id = new ProcessId(settings.hostName() + "." + Long.toString(timeOfDay.millis(), Character.MAX_RADIX));
         http = new HttpClient("platform-client", clock);
         StoreClient store = new StoreClient(http, settings.store());
@@ -122,8 +131,13 @@
         });
     }
 
-    /** Stops to take the cell, hands it over if it is owned, and answers open connections on. */
-    public void drain() {
+    /**
+     * Stops to take the cell, hands it over if it is owned, and answers open connections on.
+     *
+     * @param time how long connections stay open; every answer comes before
+     */
+    public void drain(Duration time) {
+        closingAt = clock.now().plus(time).minus(CLOSING_MARGIN);
         draining = true;
         ready = false;
         loop.publish(node::drain);
@@ -159,7 +173,16 @@
     }
 
     private void handle(CallerCall call, Consumer<CallerReply> reply) {
-        loop.publish(() -> node.handle(call, reply));
+        loop.publish(() -> node.handle(withinOpenTime(call), reply));
+    }
+
+    private CallerCall withinOpenTime(CallerCall call) {
+        if (!draining) {
+            return call;
+        }
+        Duration open = Duration.between(clock.now(), closingAt);
+        Duration patience = open.compareTo(call.patience()) < 0 ? open : call.patience();
+        return new CallerCall(call.verb(), call.host(), call.path(), patience);
     }
 
     private void apply(Runnable event) {
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.CommandLine;
@@ -18,7 +19,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** The share of the time to stop in which open connections are answered on. */
-    private static final double ANSWERING_SHARE = 0.75;
+    private static final double ANSWERING_SHARE = 0.8;
 
     private static final String SETTINGS = "settings";
 
@@ -70,13 +71,15 @@
     }
 
     private static void shutDown(CellHost host, PlatformSettings settings) {
-        host.drain();
         long millis = (long) (settings.stopTime().toMillis() * ANSWERING_SHARE);
+        host.drain(Duration.ofMillis(millis));
         try {
             new CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        host.stop();
+        LOGGER.atInfo().log("event=stopped process=%s", host.id());
+        // Nothing is kept on the host, and an orderly end of all threads may outlast the time to stop.
+        Runtime.getRuntime().halt(ExitCode.OK.code());
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -1,10 +1,12 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.Optional;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
  * Decides at once whether a job can still be served, from the work that waits before it and the processor time that is
@@ -12,8 +14,8 @@
  */
 final class Admission {
 
-    /** A job that ends after this many times its objective earns its caller next to nothing. */
-    private static final double HOPELESS = 2.5;
+    /** A job that is expected to end after this many times its objective is refused: estimates are off both ways. */
+    private static final double HOPELESS = 1.4;
 
     private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
 
@@ -27,14 +29,20 @@
      * @param capacity the work that ends each millisecond, in thousandths of a core
      */
     static Optional<Duration> refusal(
-            JobSpec spec, QueueSpec queue, Collection<Job> jobs, long capacity, DurationEstimates estimates) {
+            JobSpec spec,
+            QueueSpec queue,
+            Collection<Job> jobs,
+            long capacity,
+            DurationEstimates estimates,
+            Instant now) {
         if (spec.lasting() || spec.timed()) {
             return Optional.empty();
         }
         if (capacity <= 0) {
             return Optional.empty();
         }
-        long waitMillis = backlog(queue, jobs, estimates) / capacity;
+        // Half of the work before it: tasks of several jobs run side by side.
+        long waitMillis = backlog(spec, queue, jobs, estimates, now) / capacity / 2;
         long chain = estimates.expectedMillis(queue.name(), spec.longestChainMillis());
         long allowed = (long) (HOPELESS * (queue.stretch() * spec.longestChainMillis() + queue.targetMillis()));
         long excess = waitMillis + chain - allowed;
@@ -48,28 +56,22 @@
         return time.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : time;
     }
 
-    /** Returns the waiting work of the same or a higher priority, in thousandths of a core times milliseconds. */
-    private static long backlog(QueueSpec queue, Collection<Job> jobs, DurationEstimates estimates) {
-        long backlog = 0;
+    /** Returns the work that goes before a new job, in thousandths of a core times milliseconds. */
+    private static long backlog(
+            JobSpec spec, QueueSpec queue, Collection<Job> jobs, DurationEstimates estimates, Instant now) {
+        long own = 0;
+        for (StepSpec step : spec.steps()) {
+            own += estimates.expectedMillis(queue.name(), step.estimateMillis())
+                    * step.demand().milliCores()
+                    * step.count();
+        }
+        long backlog = own;
         for (Job job : jobs) {
-            if (job.open() && !job.spec().lasting() && job.queue().priority() <= queue.priority()) {
-                backlog += waiting(job, estimates);
+            boolean before = job.open() && !job.spec().lasting() && job.queue().priority() <= queue.priority();
+            if (before && JobOrder.inTime(job, estimates, now)) {
+                backlog += Math.min(own, JobOrder.workLeft(job, estimates));
             }
         }
         return backlog;
     }
-
-    private static long waiting(Job job, DurationEstimates estimates) {
-        long sum = 0;
-        for (Step step : job.occurrences().get(0)) {
-            long each = estimates.expectedMillis(job.queue().name(), step.spec().estimateMillis())
-                    * step.spec().demand().milliCores();
-            for (Task task : step.tasks()) {
-                if (!task.done()) {
-                    sum += task.run() == null ? each : each / 2;
-                }
-            }
-        }
-        return sum;
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -228,7 +228,12 @@
             return;
         }
         Optional<Duration> refusal = Admission.refusal(
-                submit.spec(), submit.queue(), jobs.open(), keeper.capacity(submit.queue()), keeper.estimates());
+                submit.spec(),
+                submit.queue(),
+                jobs.open(),
+                keeper.capacity(submit.queue()),
+                keeper.estimates(),
+                context.now());
         if (refusal.isPresent()) {
             LOGGER.atInfo().log(
                     "event=refused job=%s queue=%s reason=backlog retry_ms=%d",
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -19,7 +19,7 @@
     private static final double SLOW = 2.5;
 
     /** Slack beyond what serving tasks keep, since their own load rises while a task runs beside them. */
-    private static final double SLACK_RESERVE = 0.35;
+    private static final double SLACK_RESERVE = 0.25;
 
     private final WorkerHealth health;
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -59,6 +59,10 @@
         return doneCount >= tasks.size();
     }
 
+    int leftCount() {
+        return Math.max(0, tasks.size() - doneCount);
+    }
+
     /** Tells whether the steps before this one are done and its time has come. */
     boolean open(long timeOfDayMillis) {
         if (timeOfDayMillis < job.dueMillis(occurrence)) {
