--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -41,8 +41,7 @@
         if (capacity <= 0) {
             return Optional.empty();
         }
-        // Half of the work before it: tasks of several jobs run side by side.
-        long waitMillis = backlog(spec, queue, jobs, estimates, now) / capacity / 2;
+        long waitMillis = backlog(spec, queue, jobs, estimates, now) / capacity;
         long chain = estimates.expectedMillis(queue.name(), spec.longestChainMillis());
         long allowed = (long) (HOPELESS * (queue.stretch() * spec.longestChainMillis() + queue.targetMillis()));
         long excess = waitMillis + chain - allowed;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
@@ -17,7 +17,7 @@
 final class PaceControl {
 
     /** Slack that each serving task keeps; it misses its target at 1, and its own load swings. */
-    static final double KEPT_SLACK = 1.15;
+    static final double KEPT_SLACK = 1.25;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
