--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OrderDesk.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OrderDesk.java
@@ -140,6 +140,7 @@
                 "event=start_unanswered task=%s run=%d worker=%s attempt=%d %s",
                 run.task().ref(), run.number(), run.worker().id(), run.unanswered(), lost.failure());
         if (run.unanswered() >= START_ATTEMPTS) {
+            listener.unanswered(run);
             stop(run);
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -49,10 +49,11 @@
 
     private boolean allowed(Task task, WorkerState worker, Instant now) {
         StepSpec spec = task.step().spec();
-        if (!worker.entry().service().equals(task.job().queue().service())) {
+        if (!permits(task, worker)) {
             return false;
         }
-        if (spec.requiredLabel() != null && !worker.entry().labels().contains(spec.requiredLabel())) {
+        Task keptFor = worker.keptFor(now);
+        if (keptFor != null && keptFor != task) {
             return false;
         }
         if (!spec.reserved().fitsInto(worker.free())) {
@@ -61,7 +62,17 @@
         if (spec.fills() && !mayFill(spec, worker, now)) {
             return false;
         }
-        return spec.maxPerWorker() == 0 || task.step().runsOn(worker) < spec.maxPerWorker();
+        return true;
+    }
+
+    /** Tells whether a task may run on a worker that has room. */
+    boolean permits(Task task, WorkerState worker) {
+        StepSpec spec = task.step().spec();
+        boolean served = worker.entry().service().equals(task.job().queue().service());
+        boolean labelled =
+                spec.requiredLabel() == null || worker.entry().labels().contains(spec.requiredLabel());
+        boolean spread = spec.maxPerWorker() == 0 || task.step().runsOn(worker) < spec.maxPerWorker();
+        return served && labelled && spread;
     }
 
     private boolean mayFill(StepSpec spec, WorkerState worker, Instant now) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -46,6 +46,8 @@
 
     private final PaceControl pacing;
 
+    private final RoomMaker roomMaker;
+
     private final WorkerHealth health = new WorkerHealth();
 
     private final Interference interference = new Interference();
@@ -76,6 +78,7 @@
         this.jobs = jobs;
         this.onFenced = onFenced;
         this.orders = new OrderDesk(context, fence, timings.maxLease(), this);
+        this.roomMaker = new RoomMaker(orders, placement);
         this.pacing = new PaceControl(orders, interference);
     }
 
@@ -284,6 +287,9 @@
             }
             WorkerState worker = placement.choose(task, fleet.workers(), each -> usable(each, now), now);
             if (worker == null) {
+                if (step.spec().lasting()) {
+                    roomMaker.makeRoom(task, fleet.workers(), each -> usable(each, now), now);
+                }
                 return placed;
             }
             Run run = task.place(worker, now);
@@ -328,6 +334,12 @@
         }
     }
 
+    @Override
+    public void unanswered(Run run) {
+        run.task().avoid(run.worker().id());
+        health.quarantine(run.worker().id(), context.now());
+    }
+
     @Override
     public void refused(Run run, String reason, boolean workerAtFault) {
         LOGGER.atWarning().log(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
@@ -15,6 +15,9 @@
     /** A start was refused for certain. */
     void refused(Run run, String reason, boolean workerAtFault);
 
+    /** A worker leaves starts unanswered. */
+    void unanswered(Run run);
+
     /** The worker has the run, or has agreed to stop it. */
     void settled(Run run);
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -52,6 +52,10 @@
 
     private long acknowledgedEnd;
 
+    private Task keptFor;
+
+    private Instant keptUntil = Instant.MIN;
+
     private Resources reserved = Resources.NONE;
 
     private long fillCpuMillis;
@@ -195,6 +199,27 @@
         return entry.capacity().minus(reserved);
     }
 
+    /** Returns what is free when the runs that are being stopped have ended. */
+    Resources freeSoon() {
+        Resources free = free();
+        for (Run run : runs) {
+            if (run.phase() == RunPhase.STOPPING) {
+                free = free.plus(run.task().step().spec().reserved());
+            }
+        }
+        return free;
+    }
+
+    /** Returns the task that the worker is kept free for, or null. */
+    Task keptFor(Instant now) {
+        return keptFor != null && keptFor.run() == null && now.isBefore(keptUntil) ? keptFor : null;
+    }
+
+    void keepFor(Task task, Instant until) {
+        keptFor = task;
+        keptUntil = until;
+    }
+
     Resources reserved() {
         return reserved;
     }
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -0,0 +1,93 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.flamingopitch.scheduler.cell.model.JobId;
+import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.QueueName;
+import org.flamingopitch.scheduler.cell.model.QueueSpec;
+import org.flamingopitch.scheduler.cell.model.ServiceName;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.WorkerEntry;
+import org.flamingopitch.scheduler.model.Resources;
+import org.flamingopitch.scheduler.model.WorkerId;
+
+/** Jobs and workers for tests of single decisions. */
+final class OwnerFixtures {
+
+    static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+    private OwnerFixtures() {}
+
+    static QueueSpec queue() {
+        return new QueueSpec(
+                new QueueName("q"), "callers.example", "/q/", new ServiceName("pool"), 0, 3, 2, 1_000, 3_000, false);
+    }
+
+    static StepSpec fillStep(String image, int count, long milliCores, long estimateMillis) {
+        return step(image, count, milliCores, estimateMillis, true, 0);
+    }
+
+    static StepSpec servingStep(String image, long milliCores, double targetMillis) {
+        return step(image, 1, milliCores, 0, false, targetMillis);
+    }
+
+    private static StepSpec step(
+            String image, int count, long milliCores, long estimateMillis, boolean fills, double targetMillis) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, 10, 0),
+                estimateMillis,
+                List.of(),
+                true,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                !fills,
+                image,
+                targetMillis,
+                fills,
+                0);
+    }
+
+    static Job job(String id, StepSpec step, Instant submittedAt) {
+        JobSpec spec = new JobSpec("work", List.of(step), 0, 0, 0);
+        return new Job(new JobId(id), queue(), spec, submittedAt, submittedAt.toEpochMilli());
+    }
+
+    static WorkerState worker(String name, long milliCores) {
+        WorkerState worker = new WorkerState(new WorkerId(name), NOW);
+        worker.register(new WorkerEntry(
+                worker.id(),
+                1,
+                "127.0.0.1:1",
+                new ServiceName("pool"),
+                "dc",
+                false,
+                0,
+                0,
+                new Resources(milliCores, 100_000, 0),
+                Set.of("a", "r1")));
+        worker.noteReport(1, 0, Duration.ofSeconds(6), NOW);
+        return worker;
+    }
+
+    /** Lets a task run on a worker. */
+    static Run run(Task task, WorkerState worker, double figure) {
+        Run run = task.place(worker, NOW.minusSeconds(5));
+        worker.add(run);
+        run.enter(RunPhase.RUNNING);
+        run.settle(NOW);
+        run.observe(100, figure, NOW);
+        return run;
+    }
+
+    static Task task(Job job) {
+        return job.step(0, 0).tasks().get(0);
+    }
+}
