--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -15,7 +15,7 @@
 final class Admission {
 
     /** A job that is expected to end after this many times its objective is refused: estimates are off both ways. */
-    private static final double HOPELESS = 1.4;
+    private static final double HOPELESS = 1.2;
 
     private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
 
@@ -67,8 +67,8 @@
         long backlog = own;
         for (Job job : jobs) {
             boolean before = job.open() && !job.spec().lasting() && job.queue().priority() <= queue.priority();
-            if (before && JobOrder.inTime(job, estimates, now)) {
-                backlog += Math.min(own, JobOrder.workLeft(job, estimates));
+            if (before && !JobOrder.farTooLate(job, now)) {
+                backlog += JobOrder.workLeft(job, estimates);
             }
         }
         return backlog;
