Refuse what is not built instead of running it wrongly

Cause: members of a gang would have been started one by one and ended alone (rule GANG), and starts on an advised queue rejected for ever. Change: such a submission is refused at once with a reason.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -30,6 +30,9 @@
     /** Placing looks at all jobs that wait, so that close changes are answered together. */
     private static final Duration PLACE_INTERVAL = Duration.ofMillis(25);
 
+    /** Another version of the system may serve it. */
+    private static final Duration RETRY_UNSERVED = Duration.ofSeconds(30);
+
     private static final Duration RETRY_LATER = Duration.ofSeconds(1);
 
     private final CellContext context;
@@ -223,6 +226,12 @@
             whenStored(known, () -> answer.accept(new JobAnswer.Accepted()), answer);
             return;
         }
+        Optional<String> unserved = unserved(submit);
+        if (unserved.isPresent()) {
+            LOGGER.atWarning().log("event=refused job=%s reason=\"%s\"", submit.id(), unserved.get());
+            answer.accept(new JobAnswer.Refused(RETRY_UNSERVED, unserved.get()));
+            return;
+        }
         if (!mayAct()) {
             answer.accept(new JobAnswer.Refused(RETRY_LATER, "the store does not answer"));
             return;
@@ -253,6 +262,15 @@
         whenStored(job, () -> answer.accept(new JobAnswer.Accepted()), answer);
     }
 
+    /** Says what a job needs that is not built; started without it, its tasks would break what it asks for. */
+    private static Optional<String> unserved(JobRequest.Submit submit) {
+        if (submit.queue().advised()) {
+            return Optional.of("queues with a policy service are not served");
+        }
+        boolean gang = submit.spec().steps().stream().anyMatch(step -> step.gang() && step.count() > 1);
+        return gang ? Optional.of("gangs are not served") : Optional.empty();
+    }
+
     private void cancel(JobId id, Consumer<JobAnswer> answer) {
         Job job = jobs.job(id);
         if (job == null) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -9,6 +9,7 @@
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.JobState;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -238,6 +239,32 @@
         assertThat(session.running(ID)).hasSize(2).extracting(TaskRef::index).containsExactlyInAnyOrder(0, 1);
     }
 
+    @Test
+    void jobsThatNeedWhatIsNotBuiltAreRefusedAndNeverRun() {
+        StepSpec plain = CellSession.step(2, 1_000, false, List.of());
+        StepSpec gang = new StepSpec(
+                2,
+                plain.demand(),
+                1_000,
+                List.of(),
+                false,
+                true,
+                false,
+                null,
+                null,
+                0,
+                false,
+                false,
+                null,
+                0,
+                false,
+                0);
+        List<CallerReply> replies = submit("h1", PATH, new JobSpec("work", List.of(gang), 0, 0, 0));
+        session.run(Duration.ofSeconds(1));
+        assertThat(replies).hasSize(1).allMatch(reply -> reply instanceof CallerReply.Refused);
+        assertThat(session.running(ID)).isEmpty();
+    }
+
     @Test
     void malformedRequestsAreToldWhatIsWrong() {
         assertThat(submit("h1", "/q/short", CellSession.job(1, 1, false)))
