--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -9,13 +9,13 @@
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
- * Decides at once whether a job can still be served, from the work that waits before it and the processor time that
- * lasting work leaves. Under a flood it refuses what would end long after its objective, and says when to come back.
+ * Decides at once whether a job can still be served, from the work that waits before it and the processor time that is
+ * not reserved. Under a flood it refuses what would end long after its objective, and says when to come back.
  */
 final class Admission {
 
     /** A job that is expected to end after this many times its objective is refused: estimates are off both ways. */
-    private static final double HOPELESS = 1.6;
+    private static final double HOPELESS = 1.4;
 
     private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
 
@@ -26,7 +26,7 @@
     /**
      * Returns when to come back, or nothing if the job is taken.
      *
-     * @param capacity the processor time for such jobs, in thousandths of a core
+     * @param capacity the work that ends each millisecond, in thousandths of a core
      */
     static Optional<Duration> refusal(
             JobSpec spec,
@@ -67,8 +67,8 @@
         long backlog = own;
         for (Job job : jobs) {
             boolean before = job.open() && !job.spec().lasting() && job.queue().priority() <= queue.priority();
-            if (before && !JobOrder.farTooLate(job, now)) {
-                backlog += JobOrder.workLeft(job, estimates);
+            if (before && JobOrder.inTime(job, estimates, now)) {
+                backlog += Math.min(own, JobOrder.workLeft(job, estimates));
             }
         }
         return backlog;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobOrder.java
@@ -1,53 +1,38 @@
 package org.flamingopitch.scheduler.cell.owner;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
 
 /**
- * Orders jobs that wait for room. Lasting work first, because it serves others; then by the queue's priority; then by
- * the time of the submission and the size against the mean: a job of mean size goes as if it had come one objective
- * later, a small one earlier, a large one at most two objectives later. Under a flood this brings more jobs to their
- * end in time than first come, first served, and large jobs still get their turn. Jobs that are far too late go last.
+ * Orders jobs that wait for room. Lasting work first, because it serves others; then by the queue's priority; then jobs
+ * that can still be in time before those that cannot, and those with the least work left first. Under a flood this
+ * brings the most jobs to their end in time, and keeps jobs that are late anyway from making all others late too.
  */
 final class JobOrder {
 
-    /** How many objectives later than it came a large job goes at most. */
-    private static final double LARGEST_DELAY = 2;
-
-    /** After this many objectives a job goes last. */
-    private static final int FAR_TOO_LATE = 3;
-
     private JobOrder() {}
 
     static List<Job> sort(List<Job> jobs, DurationEstimates estimates, Instant now) {
-        double meanWork = jobs.stream()
-                .mapToLong(job -> workLeft(job, estimates))
-                .average()
-                .orElse(1);
         return jobs.stream()
-                .map(job -> new Ranked(job, farTooLate(job, now), turn(job, estimates, meanWork)))
+                .map(job -> new Ranked(job, rank(job, estimates, now), workLeft(job, estimates)))
                 .sorted(Comparator.comparingInt(
                                 (Ranked each) -> each.job().spec().lasting() ? 0 : 1)
                         .thenComparingInt(each -> each.job().queue().priority())
-                        .thenComparing(Ranked::farTooLate)
-                        .thenComparing(Ranked::turn)
+                        .thenComparingInt(Ranked::rank)
+                        .thenComparingLong(Ranked::workLeft)
                         .thenComparing(each -> each.job().id().value()))
                 .map(Ranked::job)
                 .toList();
     }
 
-    /** Tells whether a job is so late that hardly anybody waits for it. */
-    static boolean farTooLate(Job job, Instant now) {
-        Duration allowed = Duration.between(job.submittedAt(), job.objective());
-        return now.isAfter(job.submittedAt().plus(allowed.multipliedBy(FAR_TOO_LATE)));
+    private static int rank(Job job, DurationEstimates estimates, Instant now) {
+        return inTime(job, estimates, now) ? 0 : 1;
     }
 
-    private static Instant turn(Job job, DurationEstimates estimates, double meanWork) {
-        double size = meanWork <= 0 ? 1 : workLeft(job, estimates) / meanWork;
-        Duration allowed = Duration.between(job.submittedAt(), job.objective());
-        return job.submittedAt().plusMillis((long) (Math.min(LARGEST_DELAY, size) * allowed.toMillis()));
+    /** Tells whether a job would be in time if all its tasks found room now. */
+    static boolean inTime(Job job, DurationEstimates estimates, Instant now) {
+        return !now.plusMillis(remainingMillis(job, estimates)).isAfter(job.objective());
     }
 
     /** Returns the work that is not done, in thousandths of a core times milliseconds. */
@@ -61,5 +46,15 @@
         return sum;
     }
 
-    private record Ranked(Job job, boolean farTooLate, Instant turn) {}
+    private static long remainingMillis(Job job, DurationEstimates estimates) {
+        long left = 0;
+        for (Step step : job.occurrences().get(0)) {
+            if (!step.done()) {
+                left += estimates.expectedMillis(job.queue().name(), step.spec().estimateMillis());
+            }
+        }
+        return left;
+    }
+
+    private record Ranked(Job job, int rank, long workLeft) {}
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -92,15 +92,6 @@
         return worker.entry().capacity().milliCores();
     }
 
-    /** Returns the processor time that lasting tasks reserve. */
-    static long lastingCpu(WorkerState worker) {
-        return worker.runs().stream()
-                .map(run -> run.task().step().spec())
-                .filter(StepSpec::lasting)
-                .mapToLong(spec -> spec.reserved().milliCores())
-                .sum();
-    }
-
     /** Returns the processor time that neither reservations nor the tasks that fill take. */
     static long unusedCpu(WorkerState worker) {
         return worker.free().milliCores() - worker.fillCpuMillis();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -56,6 +56,8 @@
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final DrainRate drainRate = new DrainRate();
+
     private final CellSummary summary = new CellSummary();
 
     private final List<Runnable> doubts = new ArrayList<>();
@@ -234,20 +236,16 @@
         }
     }
 
-    /**
-     * Returns the processor time of a queue's service that its jobs may have, in thousandths of a core. It does not ask
-     * what ended lately: what is refused would lower that figure, and the figure would refuse more.
-     */
+    /** Returns the work of a queue's service that can end each millisecond, in thousandths of a core. */
     long capacity(QueueSpec queue) {
-        long capacity = 0;
+        long idle = 0;
         for (WorkerState worker : fleet.workers()) {
             boolean serves = worker.known() && worker.entry().service().equals(queue.service());
             if (serves && fleet.usable(worker, context.now())) {
-                long lasting = Placement.lastingCpu(worker);
-                capacity += worker.entry().capacity().milliCores() - lasting + Interference.idleServingCpu(worker);
+                idle += Math.max(0, Placement.unusedCpu(worker));
             }
         }
-        return capacity;
+        return drainRate.perMilli(context.now()) + idle;
     }
 
     private static boolean hasWaitingTask(Job job, long timeOfDay, Instant now) {
@@ -431,6 +429,12 @@
         task.finish();
         task.step().countDone();
         if (run != null) {
+            drainRate.add(
+                    task.step().spec().demand().milliCores()
+                            * estimates.expectedMillis(
+                                    task.job().queue().name(),
+                                    task.step().spec().estimateMillis()),
+                    context.now());
             long took = Duration.between(run.placedAt(), context.now()).toMillis();
             double slowness = estimates.learn(
                     task.job().queue().name(), task.step().spec().estimateMillis(), took);
