Group serving tasks by image and learn what fills disturb from settled figures

Short tasks were late because lasting jobs reserved nearly all processors. Change: serving tasks are placed beside their own image and a fifth of the workers is kept free of them; costs by a Kalman filter with uncertainty, from settled figures or unexplained harm, against the slack that the whole step shows alone; unknown pairs are tried one at a time; tasks that are known to be misplaced move at once; figures are looked at more often where it is critical. Short tasks go into the smallest gap; room for a lasting task drains before anything is stopped; lasting jobs beyond 85 % of the processors are refused. Conclusion: the pair of images decides where a fill may run.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/StepSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/StepSpec.java
@@ -60,6 +60,15 @@
         return fills ? new Resources(0, demand.memoryMegabytes(), demand.accelerators()) : demand;
     }
 
+    /**
+     * Returns what the tasks run.
+     *
+     * @return the image, empty if none is named
+     */
+    public String imageName() {
+        return image == null ? "" : image;
+    }
+
     /**
      * Tells whether the tasks serve users with a response time to keep.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Admission.java
@@ -17,6 +17,9 @@
     /** A job that is expected to end after this many times its objective is refused: estimates are off both ways. */
     private static final double HOPELESS = 1.4;
 
+    /** The share of the workers that lasting tasks may take; the rest is for short work and for lost workers. */
+    private static final double LASTING_SHARE = 0.85;
+
     private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
 
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(8);
@@ -27,15 +30,20 @@
      * Returns when to come back, or nothing if the job is taken.
      *
      * @param capacity the work that ends each millisecond, in thousandths of a core
+     * @param total the processor time of all workers of the queue's service, in thousandths of a core
      */
     static Optional<Duration> refusal(
             JobSpec spec,
             QueueSpec queue,
             Collection<Job> jobs,
             long capacity,
+            long total,
             DurationEstimates estimates,
             Instant now) {
-        if (spec.lasting() || spec.timed()) {
+        if (spec.lasting()) {
+            return lastingRefusal(spec, queue, jobs, total);
+        }
+        if (spec.timed()) {
             return Optional.empty();
         }
         if (capacity <= 0) {
@@ -48,6 +56,25 @@
         return excess <= 0 ? Optional.empty() : Optional.of(clamp(Duration.ofMillis(excess)));
     }
 
+    /** Refuses what would leave short work without room, or would itself wait for room that nothing gives back soon. */
+    private static Optional<Duration> lastingRefusal(JobSpec spec, QueueSpec queue, Collection<Job> jobs, long total) {
+        long reserved = reserved(spec);
+        for (Job job : jobs) {
+            if (job.open() && job.spec().lasting() && job.queue().service().equals(queue.service())) {
+                reserved += reserved(job.spec());
+            }
+        }
+        return total > 0 && reserved > LASTING_SHARE * total ? Optional.of(LONGEST_RETRY) : Optional.empty();
+    }
+
+    private static long reserved(JobSpec spec) {
+        long sum = 0;
+        for (StepSpec step : spec.steps()) {
+            sum += step.reserved().milliCores() * step.count();
+        }
+        return sum;
+    }
+
     private static Duration clamp(Duration time) {
         if (time.compareTo(SHORTEST_RETRY) < 0) {
             return SHORTEST_RETRY;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -27,9 +27,6 @@
     /** The clock of a worker may be 2 % slow, and an order may wait in a buffer. */
     private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(300);
 
-    /** Placing looks at all jobs that wait, so that close changes are answered together. */
-    private static final Duration PLACE_INTERVAL = Duration.ofMillis(25);
-
     /** Another version of the system may serve it. */
     private static final Duration RETRY_UNSERVED = Duration.ofSeconds(30);
 
@@ -51,6 +48,8 @@
 
     private final RunKeeper keeper;
 
+    private final CellLoad load;
+
     private final long fence;
 
     private final Instant electedAt;
@@ -61,8 +60,6 @@
 
     private boolean closed;
 
-    private Instant placedAt = Instant.MIN;
-
     /**
      * Takes a cell over.
      *
@@ -84,6 +81,7 @@
         Instant formerLapseAt = electedAt.plus(STORE_SILENCE).plus(slowLease).plus(TAKEOVER_MARGIN);
         this.keeper = new RunKeeper(context, timings, fence, jobs, this::fenced);
         this.fleet = new Fleet(context, fence, timings.maxLease(), formerLapseAt, keeper);
+        this.load = new CellLoad(jobs, fleet, keeper.drainRate());
         this.loader = new CellLoader(context, this::loaded);
     }
 
@@ -149,7 +147,7 @@
             Job job = jobs.job(ask.id());
             answer.accept(job == null ? new JobAnswer.Unknown() : new JobAnswer.State(job.visibleState()));
         } else if (request instanceof JobRequest.AskPending pending) {
-            answer.accept(new JobAnswer.Pending(keeper.pending(pending.queue())));
+            answer.accept(new JobAnswer.Pending(load.pending(pending.queue())));
         }
     }
 
@@ -163,11 +161,6 @@
         }
         fleet.tick(mayAct());
         keeper.tick();
-        boolean due = keeper.placingWanted() && !context.now().isBefore(placedAt.plus(PLACE_INTERVAL));
-        if (due && mayAct()) {
-            placedAt = context.now();
-            keeper.place();
-        }
         log.sendIfDue();
     }
 
@@ -240,7 +233,8 @@
                 submit.spec(),
                 submit.queue(),
                 jobs.open(),
-                keeper.capacity(submit.queue()),
+                load.capacity(submit.queue(), context.now()),
+                load.totalCpu(submit.queue()),
                 keeper.estimates(),
                 context.now());
         if (refusal.isPresent()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
@@ -13,108 +15,179 @@
  */
 final class Interference {
 
-    /** Slack that a serving image is expected to have alone, before any figure. */
-    private static final double FIRST_BASELINE = 2.4;
+    /** Slack that a task takes off without a difference that matters; keeping it away would gain nothing. */
+    static final double HARMLESS = 0.08;
 
-    /** Slack that a whole worker's worth of a filling image takes off, before any figure. */
-    private static final double FIRST_COST = 4;
+    /** A cost with a larger standard deviation is not known: such a pair is tried with one task at a time. */
+    private static final double UNKNOWN = 4.2;
 
-    private static final double HIGHEST_COST = 40;
+    /** The cost with which a pair that is not known is tried. */
+    private static final double TRIAL_COST = 1;
 
-    private static final double BASELINE_SMOOTHING = 0.05;
+    /** Fills that take off less than this together leave a figure that still tells the slack alone. */
+    private static final double CLEAN = 0.25;
 
-    /** How fast a cost follows the error of its prediction. */
-    private static final double LEARNING_RATE = 0.1;
+    /** A figure tells what a fill does only when the fill has not changed for this long: figures cover half a second. */
+    private static final Duration SETTLING_TIME = Duration.ofMillis(700);
 
-    /** Keeps small shares from changing a cost much. */
-    private static final double SHARE_FLOOR = 0.01;
+    /** A step's slack alone is believed for this long; its load takes seconds to swing. */
+    private static final Duration ALONE_VALID = Duration.ofMillis(900);
+
+    /** Rough figures differ by less than this slack from what is expected. */
+    private static final double UNEXPLAINED = 0.5;
+
+    /** With less slack than this a swing of the load may soon take all of it. */
+    private static final double CRITICAL = 1.9;
+
+    /** Variance of one step's figures on one worker against its slack alone. */
+    private static final double FIGURE_VARIANCE = 0.25;
+
+    /** Variance of the same against the slack over time, from which the load swings by half. */
+    private static final double SWING_VARIANCE = 0.8;
 
     /** The share of a serving task's reservation that its load takes on average. */
     private static final double SERVING_LOAD = 0.5;
 
-    /** A figure covers the last half second and does not show what was placed later. */
-    private static final Duration FIGURE_LAG = Duration.ofMillis(700);
+    /** Figures of one worker that follow closer show the same moment. */
+    private static final Duration OBSERVATION_GAP = Duration.ofMillis(300);
 
     private static final int FULL = 100;
 
-    private final Map<String, Double> baselines = new HashMap<>();
-
-    private final Map<Pair, Double> costs = new HashMap<>();
+    private final Map<String, ResponseModel> models = new HashMap<>();
 
     /** Learns from a worker's newest figures. */
     void learn(WorkerState worker, Instant now) {
+        Map<String, Double> shares = worker.shownFills(now);
+        Set<String> changing = worker.changedFills(now.minus(SETTLING_TIME));
+        boolean news = !now.isBefore(worker.observedAt().plus(OBSERVATION_GAP));
+        Map<Step, Double> slacks = meanSlacks(worker);
+        for (Map.Entry<Step, Double> each : slacks.entrySet()) {
+            Step step = each.getKey();
+            double slack = each.getValue();
+            ResponseModel model = model(step.spec());
+            boolean settled = settled(model, shares, changing) || disturbed(step, slack, shares, now);
+            if (news && !shares.isEmpty() && settled) {
+                learnFills(step, slack, shares, now);
+            }
+            if (clean(model, shares)) {
+                double alone = slack + model.cost(shares);
+                step.observeSlackAlone(alone, now);
+                model.observeAlone(alone);
+            }
+        }
+        if (news && !slacks.isEmpty()) {
+            worker.observed(now);
+        }
+    }
+
+    /** Tells whether a figure shows more harm than expected, which a change under way cannot explain. */
+    private boolean disturbed(Step step, double slack, Map<String, Double> shares, Instant now) {
+        return alone(step, now) - model(step.spec()).cost(shares) - slack > UNEXPLAINED;
+    }
+
+    private void learnFills(Step step, double slack, Map<String, Double> shares, Instant now) {
+        boolean known = step.slackAloneKnown(ALONE_VALID, now);
+        double variance = known ? FIGURE_VARIANCE : SWING_VARIANCE;
+        model(step.spec()).observe(alone(step, now), slack, shares, variance);
+    }
+
+    private static Map<Step, Double> meanSlacks(WorkerState worker) {
+        Map<Step, Double> sums = new LinkedHashMap<>();
+        Map<Step, Integer> counts = new HashMap<>();
         for (Run serving : worker.runs()) {
             double slack = slack(serving);
             if (slack > 0) {
-                learn(worker, serving, slack, now);
+                sums.merge(serving.task().step(), slack, Double::sum);
+                counts.merge(serving.task().step(), 1, Integer::sum);
             }
         }
+        sums.replaceAll((step, sum) -> sum / counts.get(step));
+        return sums;
     }
 
-    private void learn(WorkerState worker, Run serving, double slack, Instant now) {
-        double predicted = 0;
-        double squares = 0;
-        for (Run fill : worker.runs()) {
-            if (shows(fill, now)) {
-                double share = share(fill);
-                predicted += share * cost(serving, fill.task().step().spec());
-                squares += share * share;
-            }
-        }
-        String image = image(serving.task().step().spec());
-        double baseline = baselines.getOrDefault(image, FIRST_BASELINE);
-        if (squares == 0) {
-            baselines.put(image, baseline * (1 - BASELINE_SMOOTHING) + slack * BASELINE_SMOOTHING);
-            return;
-        }
-        double error = baseline - slack - predicted;
-        for (Run fill : worker.runs()) {
-            if (shows(fill, now)) {
-                StepSpec spec = fill.task().step().spec();
-                double step = LEARNING_RATE * error * share(fill) / (squares + SHARE_FLOOR);
-                double next = Math.max(0, Math.min(HIGHEST_COST, cost(serving, spec) + step));
-                costs.put(new Pair(image, image(spec)), next);
-            }
-        }
+    private static boolean settled(ResponseModel model, Map<String, Double> shares, Set<String> changing) {
+        return changing.stream()
+                .allMatch(image -> model.uncertainty(image) <= UNKNOWN
+                        && shares.getOrDefault(image, 0.0) * model.cost(image) <= HARMLESS);
+    }
+
+    private static boolean clean(ResponseModel model, Map<String, Double> shares) {
+        boolean known = shares.keySet().stream().allMatch(image -> model.uncertainty(image) <= UNKNOWN);
+        return known && model.cost(shares) <= CLEAN;
     }
 
     /** Predicts the least slack of a worker's serving tasks, with one more task beside them. */
     double predict(WorkerState worker, StepSpec addition, Instant now) {
         double least = Double.MAX_VALUE;
         for (Run serving : worker.runs()) {
-            StepSpec spec = serving.task().step().spec();
-            if (spec.serving()) {
-                double slack =
-                        slack(serving) > 0 ? slack(serving) : baselines.getOrDefault(image(spec), FIRST_BASELINE);
-                slack -= share(addition, worker) * cost(serving, addition);
-                least = Math.min(least, slack - unseenCost(worker, serving, now));
+            if (serving.task().step().spec().serving()) {
+                double cost = share(addition, worker) * trialCost(worker, serving, addition);
+                double slack = alone(serving, now) - presentCost(worker, serving) - cost;
+                boolean harmless = cost <= HARMLESS && slack >= 1;
+                least = Math.min(least, harmless ? Double.MAX_VALUE : slack);
             }
         }
         return least;
     }
 
-    /** Returns what tasks take off that were placed after the last figure. */
-    private double unseenCost(WorkerState worker, Run serving, Instant now) {
-        double sum = 0;
-        for (Run fill : worker.runs()) {
-            if (fill.task().step().spec().fills() && !shows(fill, now)) {
-                sum += share(fill.task().step().spec(), worker)
-                        * cost(serving, fill.task().step().spec());
+    /**
+     * Returns the slack that a serving task would have now if nothing filled beside it. Single figures are rough, and the
+     * load of a step's tasks swings together, so that the figures of all of them tell it; a task whose own figure is far
+     * worse is disturbed by more than is known.
+     */
+    double alone(Run serving, Instant now) {
+        double expected = alone(serving.task().step(), now);
+        double slack = slack(serving);
+        if (slack <= 0) {
+            return expected;
+        }
+        double own = slack + model(serving).cost(serving.worker().shownFills(now));
+        return Math.min(expected, own + UNEXPLAINED);
+    }
+
+    private double alone(Step step, Instant now) {
+        return step.slackAloneKnown(ALONE_VALID, now)
+                ? step.slackAlone()
+                : model(step.spec()).baseline();
+    }
+
+    /** Tells whether the figures of a worker must be followed closely: a serving task there may soon miss its target. */
+    boolean critical(WorkerState worker, Instant now) {
+        for (Run serving : worker.runs()) {
+            if (serving.task().step().spec().serving() && critical(worker, serving, now)) {
+                return true;
             }
         }
-        return sum;
+        return false;
     }
 
-    private static boolean shows(Run fill, Instant now) {
-        return fill.task().step().spec().fills()
-                && fill.phase() == RunPhase.RUNNING
-                && now.isAfter(fill.placedAt().plus(FIGURE_LAG));
+    private boolean critical(WorkerState worker, Run serving, Instant now) {
+        double sum = 0;
+        for (Run fill : worker.runs()) {
+            if (fill.task().step().spec().fills()) {
+                if (!known(serving, fill.task().step().spec())) {
+                    return true;
+                }
+                sum += fullCost(serving, fill);
+            }
+        }
+        return sum > HARMLESS && alone(serving, now) - sum < CRITICAL;
     }
 
     /** Returns the slack that a filling task takes off a serving one at full speed. */
     double fullCost(Run serving, Run fill) {
         StepSpec spec = fill.task().step().spec();
-        return share(spec, fill.worker()) * cost(serving, spec);
+        return share(spec, fill.worker()) * model(serving).cost(spec.imageName());
+    }
+
+    /** Returns the slack that a serving task is expected to have alone. */
+    double baseline(Run serving) {
+        return model(serving).baseline();
+    }
+
+    /** Tells whether it is known how much a filling task disturbs a serving one. */
+    boolean known(Run serving, StepSpec fill) {
+        return model(serving).uncertainty(fill.imageName()) <= UNKNOWN;
     }
 
     /** Returns the processor time that serving tasks reserve and do not use on average. */
@@ -134,22 +207,37 @@
         return known && run.percent() >= FULL ? spec.targetMillis() / run.figure() : 0;
     }
 
-    private static double share(Run fill) {
-        double pace = Math.max(0, fill.pacedTo()) / (double) FULL;
-        return pace * share(fill.task().step().spec(), fill.worker());
+    private double presentCost(WorkerState worker, Run serving) {
+        double sum = 0;
+        for (Run fill : worker.runs()) {
+            if (fill.task().step().spec().fills()) {
+                sum += fullCost(serving, fill) * Math.max(0, fill.pacedTo()) / FULL;
+            }
+        }
+        return sum;
     }
 
-    private static double share(StepSpec spec, WorkerState worker) {
-        return (double) spec.demand().milliCores() / worker.entry().capacity().milliCores();
+    /** Returns the cost to reckon with for one more task; an unknown pair is tried unless another trial runs there. */
+    private double trialCost(WorkerState worker, Run serving, StepSpec addition) {
+        double cost = model(serving).cost(addition.imageName());
+        if (known(serving, addition)) {
+            return cost;
+        }
+        boolean trialRuns = worker.runs().stream()
+                .map(run -> run.task().step().spec())
+                .anyMatch(spec -> spec.fills() && !known(serving, spec));
+        return trialRuns ? Double.MAX_VALUE : Math.min(cost, TRIAL_COST);
     }
 
-    private double cost(Run serving, StepSpec fill) {
-        return costs.getOrDefault(new Pair(image(serving.task().step().spec()), image(fill)), FIRST_COST);
+    private ResponseModel model(Run serving) {
+        return model(serving.task().step().spec());
     }
 
-    private static String image(StepSpec spec) {
-        return spec.image() == null ? "" : spec.image();
+    private ResponseModel model(StepSpec serving) {
+        return models.computeIfAbsent(serving.imageName(), key -> new ResponseModel());
     }
 
-    private record Pair(String serving, String filling) {}
+    private static double share(StepSpec spec, WorkerState worker) {
+        return (double) spec.demand().milliCores() / worker.entry().capacity().milliCores();
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
  * Slows tasks that fill where a serving task on the same worker would miss its response time, those that disturb most
@@ -17,7 +21,7 @@
 final class PaceControl {
 
     /** Slack that each serving task keeps; it misses its target at 1, and its own load swings. */
-    static final double KEPT_SLACK = 1.25;
+    static final double KEPT_SLACK = 1.4;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -25,6 +29,9 @@
 
     private static final int[] LEVELS = {FULL, 50, 25};
 
+    /** A serving task that misses its target for this long is believed, whatever its single figures are worth. */
+    private static final Duration MISSED_TIME = Duration.ofMillis(250);
+
     /** Speeds up at most this often, so that the figures can follow. */
     private static final Duration RAISE_INTERVAL = Duration.ofMillis(700);
 
@@ -44,33 +51,59 @@
     void apply(WorkerState worker, Instant now) {
         List<Run> fills = new ArrayList<>();
         Map<Run, Double> slacks = new HashMap<>();
+        boolean missed = false;
         for (Run run : worker.runs()) {
             if (run.task().step().spec().fills() && run.phase() == RunPhase.RUNNING) {
                 fills.add(run);
             } else if (Interference.slack(run) > 0) {
-                slacks.put(run, Interference.slack(run));
+                missed |= run.missedFor(MISSED_TIME, now);
+                slacks.put(run, interference.alone(run, now));
             }
         }
         if (fills.isEmpty()) {
             return;
         }
-        boolean missed = slacks.values().stream().anyMatch(slack -> slack < 1);
-        slacks.replaceAll((serving, slack) -> slack + presentCost(serving, fills));
         fills.sort(Comparator.comparingDouble(fill -> highestCost(fill, slacks)));
+        Map<Run, Integer> levels = levels(fills, slacks);
+        Set<Run> suspects = missed ? suspects(fills, slacks.keySet(), levels) : Set.of();
         for (Run fill : fills) {
-            int level = missed ? 0 : highestLevel(fill, slacks);
-            set(fill, level, now);
-            int applied = Math.max(0, fill.pacedTo());
-            slacks.replaceAll((serving, slack) -> slack - interference.fullCost(serving, fill) * applied / FULL);
+            if (misplaced(fill, slacks.keySet())) {
+                displace(fill);
+            } else {
+                set(fill, suspects.contains(fill) ? 0 : levels.get(fill), now);
+            }
+        }
+    }
+
+    /**
+     * Returns the tasks to hold when a serving task misses its target although the estimates allow them all: those of
+     * which it is not known what they do; without any, all.
+     */
+    private Set<Run> suspects(List<Run> fills, Set<Run> servings, Map<Run, Integer> levels) {
+        Set<Run> unknown = new HashSet<>();
+        for (Run fill : fills) {
+            StepSpec spec = fill.task().step().spec();
+            if (servings.stream().anyMatch(serving -> !interference.known(serving, spec))) {
+                unknown.add(fill);
+            }
         }
+        boolean held = levels.values().stream().anyMatch(level -> level < FULL);
+        if (!unknown.isEmpty() || held) {
+            return unknown;
+        }
+        return Set.copyOf(fills);
     }
 
-    private double presentCost(Run serving, List<Run> fills) {
-        double sum = 0;
+    /** Returns the share at which each task may work, those that disturb least first. */
+    private Map<Run, Integer> levels(List<Run> fills, Map<Run, Double> slacks) {
+        Map<Run, Double> left = new HashMap<>(slacks);
+        Map<Run, Integer> levels = new HashMap<>();
         for (Run fill : fills) {
-            sum += interference.fullCost(serving, fill) * Math.max(0, fill.pacedTo()) / FULL;
+            int level = highestLevel(fill, left);
+            levels.put(fill, level);
+            left.replaceAll((serving, slack) -> slack - interference.fullCost(serving, fill) * level / FULL);
         }
-        return sum;
+        return levels;
     }
 
     private double highestCost(Run fill, Map<Run, Double> slacks) {
@@ -82,26 +115,36 @@
 
     private int highestLevel(Run fill, Map<Run, Double> slacks) {
         for (int level : LEVELS) {
-            boolean tolerated = slacks.entrySet().stream()
-                    .allMatch(each ->
-                            each.getValue() - interference.fullCost(each.getKey(), fill) * level / FULL >= KEPT_SLACK);
-            if (tolerated) {
+            if (slacks.entrySet().stream().allMatch(each -> tolerates(each.getKey(), each.getValue(), fill, level))) {
                 return level;
             }
         }
         return 0;
     }
 
+    private boolean tolerates(Run serving, double slack, Run fill, int level) {
+        double cost = interference.fullCost(serving, fill) * level / FULL;
+        return slack - cost >= KEPT_SLACK || cost <= Interference.HARMLESS;
+    }
+
+    /** Tells whether a task is known to disturb a serving one too much under an average load, even when slowed. */
+    private boolean misplaced(Run fill, Collection<Run> servings) {
+        int lowest = LEVELS[LEVELS.length - 1];
+        return servings.stream()
+                .filter(serving ->
+                        interference.known(serving, fill.task().step().spec()))
+                .anyMatch(
+                        serving -> interference.baseline(serving) - interference.fullCost(serving, fill) * lowest / FULL
+                                < KEPT_SLACK);
+    }
+
     private void set(Run fill, int level, Instant now) {
         boolean raise = level > fill.pacedTo() && fill.pacedTo() >= 0;
         if (raise && now.isBefore(fill.pacedAt().plus(RAISE_INTERVAL))) {
             return;
         }
         if (level == 0 && fill.pacedTo() == 0 && !now.isBefore(fill.pacedAt().plus(STANDSTILL))) {
-            LOGGER.atInfo().log(
-                    "event=displaced task=%s run=%d worker=%s",
-                    fill.task().ref(), fill.number(), fill.worker().id());
-            orders.stop(fill);
+            displace(fill);
             return;
         }
         if (level != fill.pacedTo()) {
@@ -110,4 +153,11 @@
             orders.pace(fill, level);
         }
     }
+
+    private void displace(Run fill) {
+        LOGGER.atInfo().log(
+                "event=displaced task=%s run=%d worker=%s",
+                fill.task().ref(), fill.number(), fill.worker().id());
+        orders.stop(fill);
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -7,8 +7,11 @@
 import org.flamingopitch.scheduler.model.Resources;
 
 /**
- * Chooses a worker for a task, on what is reserved and not on what is estimated. Lasting tasks are packed, so that the
- * tasks that fill find workers on which they disturb nobody; all others go where most processor time is left.
+ * Chooses a worker for a task, on what is reserved and not on what is estimated. Lasting tasks are packed, and serving
+ * tasks beside others of their image: whether a task that fills disturbs a serving one depends on the pair of images, so
+ * that it finds either workers on which nobody serves or workers on which it disturbs nobody. Short
+ * tasks go into the smallest gap, so that larger gaps stay for larger tasks, and those that fill go where most processor
+ * time is left.
  */
 final class Placement {
 
@@ -18,6 +21,12 @@
     /** A worker that takes this many times as long as its peers is a last resort. */
     private static final double SLOW = 2.5;
 
+    /** Outweighs how tightly lasting tasks are packed. */
+    private static final double SAME_IMAGE = 1e6;
+
+    /** The share of the workers that is kept free of serving tasks as long as others have room: for wide and heavy tasks. */
+    private static final double KEPT_FREE = 0.2;
+
     /** Slack beyond what serving tasks keep, since their own load rises while a task runs beside them. */
     private static final double SLACK_RESERVE = 0.25;
 
@@ -32,13 +41,14 @@
 
     /** Returns the best worker that has room, or null. */
     WorkerState choose(Task task, Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
+        boolean scarce = servingFreeScarce(workers);
         WorkerState best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (WorkerState worker : workers) {
             if (!usable.test(worker) || !allowed(task, worker, now)) {
                 continue;
             }
-            double score = score(task, worker, now);
+            double score = score(task, worker, scarce, now);
             if (score > bestScore) {
                 best = worker;
                 bestScore = score;
@@ -97,10 +107,19 @@
         return worker.free().milliCores() - worker.fillCpuMillis();
     }
 
-    private double score(Task task, WorkerState worker, Instant now) {
+    private static boolean servingFreeScarce(Collection<WorkerState> workers) {
+        long free = workers.stream().filter(worker -> !serves(worker)).count();
+        return free <= workers.size() * KEPT_FREE;
+    }
+
+    private double score(Task task, WorkerState worker, boolean scarce, Instant now) {
         StepSpec spec = task.step().spec();
         Resources free = worker.free();
-        double score = spec.lasting() ? -free.milliCores() : unusedCpu(worker);
+        double score = spec.fills() ? unusedCpu(worker) : -free.milliCores();
+        if (spec.serving()) {
+            score += SAME_IMAGE * sameImageShare(spec, worker);
+            score -= scarce && !serves(worker) ? 2 * SAME_IMAGE : 0;
+        }
         if (spec.fills() && serves(worker)) {
             score -= LAST_RESORT / 100 / (1 + interference.predict(worker, spec, now));
         }
@@ -119,6 +138,20 @@
         return score;
     }
 
+    /** Returns the share of the serving tasks beside which have the same image; none if others serve there, too. */
+    private static double sameImageShare(StepSpec spec, WorkerState worker) {
+        int same = 0;
+        int others = 0;
+        for (Run run : worker.runs()) {
+            StepSpec beside = run.task().step().spec();
+            if (beside.serving()) {
+                same += beside.imageName().equals(spec.imageName()) ? 1 : 0;
+                others += beside.imageName().equals(spec.imageName()) ? 0 : 1;
+            }
+        }
+        return same + others == 0 ? 0 : (double) (same - others) / (same + others);
+    }
+
     private static boolean nearOthers(Task task, WorkerState worker) {
         for (Task other : task.step().tasks()) {
             if (other.run() != null && other.run().worker().known()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RoomMaker.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RoomMaker.java
@@ -7,19 +7,24 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.flamingopitch.scheduler.model.Resources;
 
 /**
- * Makes room for a lasting task that finds none: keeps one worker free for it and stops there what is not lasting, the
- * youngest first. Answers workers that are full of short tasks, which would take each gap before a larger task fits.
+ * Makes room for a lasting task that finds none: keeps one worker free for it, so that no other task takes the gaps that
+ * open there, and stops what is not lasting only if that takes too long. Answers workers that are full of short tasks,
+ * which would take each gap before a larger task fits.
  */
 final class RoomMaker {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** How long a worker is kept free; a stop takes less than a second. */
-    private static final Duration KEEP_TIME = Duration.ofSeconds(2);
+    /** How long short tasks may go on to their end: the platform counts a lasting task as lost after 3 s with room. */
+    private static final Duration DRAIN_TIME = Duration.ofMillis(1_500);
+
+    /** How long a worker is kept free in all; a stop takes less than a second. */
+    private static final Duration KEEP_TIME = Duration.ofMillis(3_500);
 
     private final OrderDesk orders;
 
@@ -30,11 +35,18 @@
         this.placement = placement;
     }
 
-    /** Makes room for a task, unless that is under way. */
-    void makeRoom(Task task, Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
-        boolean underWay = workers.stream().anyMatch(worker -> worker.keptFor(now) == task);
-        if (underWay) {
-            return;
+    /**
+     * Makes room for a task, unless that is under way.
+     *
+     * @return how long to wait before this is to be called again, or nothing if it makes no difference
+     */
+    Optional<Duration> makeRoom(
+            Task task, Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
+        for (WorkerState worker : workers) {
+            if (worker.keptFor(now) == task) {
+                stopIfSlow(task, worker, now);
+                return Optional.empty();
+            }
         }
         WorkerState best = null;
         List<Run> cheapest = null;
@@ -47,11 +59,21 @@
             }
         }
         if (best == null) {
-            return;
+            return Optional.empty();
         }
         best.keepFor(task, now.plus(KEEP_TIME));
-        LOGGER.atInfo().log("event=room_made task=%s worker=%s stopped=%d", task.ref(), best.id(), cheapest.size());
-        cheapest.forEach(orders::stop);
+        LOGGER.atInfo().log("event=room_kept task=%s worker=%s runs=%d", task.ref(), best.id(), cheapest.size());
+        return Optional.of(DRAIN_TIME);
+    }
+
+    private void stopIfSlow(Task task, WorkerState worker, Instant now) {
+        Instant keptSince = worker.keptUntil().minus(KEEP_TIME);
+        List<Run> victims = victims(task, worker);
+        if (victims != null && !victims.isEmpty() && !now.isBefore(keptSince.plus(DRAIN_TIME))) {
+            LOGGER.atInfo().log(
+                    "event=room_made task=%s worker=%s stopped=%d", task.ref(), worker.id(), victims.size());
+            victims.forEach(orders::stop);
+        }
     }
 
     /** Returns the runs to stop so that the task fits, or null if it cannot fit. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /** One start of a task on a worker; its room is reserved until its end is certain. */
@@ -32,6 +33,9 @@
 
     private Instant progressAt;
 
+    /** Since when all figures of a serving task miss its target; null if the last one does not. */
+    private Instant missedSince;
+
     /** The share at which it works; negative if the worker did not confirm the last order. */
     private int pacedTo = 100;
 
@@ -63,6 +67,12 @@
         return placedAt;
     }
 
+    /** Gives up its room on the worker and leaves its task. */
+    void release(Instant now) {
+        worker.remove(this, now);
+        task.leave();
+    }
+
     RunPhase phase() {
         return phase;
     }
@@ -137,6 +147,18 @@
         }
         percent = newPercent;
         figure = newFigure;
+        boolean missed =
+                task.step().spec().serving() && figure > task.step().spec().targetMillis();
+        if (!missed) {
+            missedSince = null;
+        } else if (missedSince == null) {
+            missedSince = now;
+        }
+    }
+
+    /** Tells whether all figures of a serving task have missed its target for a time. */
+    boolean missedFor(Duration time, Instant now) {
+        return missedSince != null && !now.isBefore(missedSince.plus(time));
     }
 
     int pacedTo() {
@@ -147,7 +169,13 @@
         return pacedAt;
     }
 
+    /** Returns since when it works at its present pace. */
+    Instant paceSince() {
+        return pacedAt.isAfter(placedAt) ? pacedAt : placedAt;
+    }
+
     void paced(int level, Instant now) {
+        worker.paceChanges(this, now);
         pacedTo = level;
         pacedAt = now;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -4,14 +4,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.model.JobState;
-import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.port.CellContext;
@@ -31,9 +27,6 @@
 
     private static final int FULL_PACE = 100;
 
-    /** Steps without a place after which a pass ends; those that follow are less urgent and seldom find one. */
-    private static final int MISSES_A_PASS = 6;
-
     private final CellContext context;
 
     private final CellTimings timings;
@@ -46,13 +39,11 @@
 
     private final PaceControl pacing;
 
-    private final RoomMaker roomMaker;
-
     private final WorkerHealth health = new WorkerHealth();
 
     private final Interference interference = new Interference();
 
-    private final Placement placement = new Placement(health, interference);
+    private final TaskPlacer placer;
 
     private final DurationEstimates estimates = new DurationEstimates();
 
@@ -66,10 +57,6 @@
 
     private Fleet fleet;
 
-    private BooleanSupplier mayAct = () -> false;
-
-    private boolean placingWanted;
-
     private Instant tickedAt = Instant.MIN;
 
     RunKeeper(CellContext context, CellTimings timings, long fence, JobTable jobs, Consumer<WorkerState> onFenced) {
@@ -78,7 +65,7 @@
         this.jobs = jobs;
         this.onFenced = onFenced;
         this.orders = new OrderDesk(context, fence, timings.maxLease(), this);
-        this.roomMaker = new RoomMaker(orders, placement);
+        this.placer = new TaskPlacer(context, jobs, new Placement(health, interference), orders, health, estimates);
         this.pacing = new PaceControl(orders, interference);
     }
 
@@ -86,8 +73,7 @@
     void begin(CommitLog newLog, Fleet newFleet, BooleanSupplier mayActNow) {
         log = newLog;
         fleet = newFleet;
-        mayAct = mayActNow;
-        placingWanted = true;
+        placer.begin(newLog, newFleet, mayActNow);
     }
 
     void close() {
@@ -100,22 +86,13 @@
         return estimates;
     }
 
-    boolean placingWanted() {
-        return placingWanted;
+    DrainRate drainRate() {
+        return drainRate;
     }
 
+    /** Asks for another look at the tasks that wait. */
     void requestPlacing() {
-        placingWanted = true;
-    }
-
-    int pending(QueueName queue) {
-        int count = 0;
-        for (Job job : jobs.all()) {
-            if (job.open() && !job.started() && job.queue().name().equals(queue)) {
-                count++;
-            }
-        }
-        return count;
+        placer.request();
     }
 
     /** Runs an action when the job is durable, or another if the ownership ends before. */
@@ -142,7 +119,7 @@
                 step.tasks().forEach(this::stopIfRunning);
             }
         }
-        placingWanted = true;
+        placer.request();
     }
 
     private void stopIfRunning(Task task) {
@@ -151,18 +128,14 @@
             return;
         }
         if (run.phase() == RunPhase.PLANNED) {
-            release(run);
+            run.release(context.now());
         } else {
             orders.stop(run);
         }
     }
 
-    private void release(Run run) {
-        run.worker().remove(run);
-        run.task().leave();
-    }
-
     void tick() {
+        placer.placeIfDue();
         Instant now = context.now();
         if (now.isBefore(tickedAt.plus(TICK_INTERVAL))) {
             return;
@@ -181,7 +154,9 @@
                 jobs.remove(job);
                 log.delete(job);
             }
-            placingWanted |= job.open() && job.spec().timed();
+            if (job.open() && job.spec().timed()) {
+                placer.request();
+            }
         }
     }
 
@@ -215,116 +190,6 @@
         }
     }
 
-    /** Places all tasks that wait and find room. */
-    void place() {
-        placingWanted = false;
-        if (!mayAct.getAsBoolean()) {
-            placingWanted = true;
-            return;
-        }
-        Instant now = context.now();
-        long timeOfDay = context.timeOfDayMillis();
-        List<Job> waiting = new ArrayList<>();
-        for (Job job : jobs.open()) {
-            if (hasWaitingTask(job, timeOfDay, now)) {
-                waiting.add(job);
-            }
-        }
-        Map<Boolean, Integer> misses = new HashMap<>();
-        for (Job job : JobOrder.sort(waiting, estimates, now)) {
-            placeJob(job, timeOfDay, misses, now);
-        }
-    }
-
-    /** Returns the work of a queue's service that can end each millisecond, in thousandths of a core. */
-    long capacity(QueueSpec queue) {
-        long idle = 0;
-        for (WorkerState worker : fleet.workers()) {
-            boolean serves = worker.known() && worker.entry().service().equals(queue.service());
-            if (serves && fleet.usable(worker, context.now())) {
-                idle += Math.max(0, Placement.unusedCpu(worker));
-            }
-        }
-        return drainRate.perMilli(context.now()) + idle;
-    }
-
-    private static boolean hasWaitingTask(Job job, long timeOfDay, Instant now) {
-        for (List<Step> steps : job.occurrences()) {
-            for (Step step : steps) {
-                if (!step.done() && step.open(timeOfDay) && step.waitingCount(now) > 0) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
-    private void placeJob(Job job, long timeOfDay, Map<Boolean, Integer> misses, Instant now) {
-        boolean placed = false;
-        for (List<Step> steps : job.occurrences()) {
-            for (Step step : steps) {
-                boolean fills = step.spec().fills();
-                boolean hopeless = misses.getOrDefault(fills, 0) >= MISSES_A_PASS;
-                if (hopeless || step.done() || !step.open(timeOfDay)) {
-                    continue;
-                }
-                placed |= placeStep(step, now);
-                if (step.waitingCount(now) > 0) {
-                    misses.merge(fills, 1, Integer::sum);
-                }
-            }
-        }
-        if (placed) {
-            log.write(job, true, null);
-        }
-    }
-
-    private boolean placeStep(Step step, Instant now) {
-        boolean placed = false;
-        for (Task task : step.tasks()) {
-            if (!task.waiting(now)) {
-                continue;
-            }
-            WorkerState worker = placement.choose(task, fleet.workers(), each -> usable(each, now), now);
-            if (worker == null) {
-                if (step.spec().lasting()) {
-                    roomMaker.makeRoom(task, fleet.workers(), each -> usable(each, now), now);
-                }
-                return placed;
-            }
-            Run run = task.place(worker, now);
-            worker.add(run);
-            log.write(task.job(), true, () -> startIfStillWanted(run));
-            placed = true;
-        }
-        return placed;
-    }
-
-    private boolean usable(WorkerState worker, Instant now) {
-        return fleet.usable(worker, now) && !health.quarantined(worker.id(), now);
-    }
-
-    private void startIfStillWanted(Run run) {
-        Task task = run.task();
-        if (task.run() != run || run.phase() != RunPhase.PLANNED) {
-            return;
-        }
-        if (!mayAct.getAsBoolean() || !fleet.usable(run.worker(), context.now())) {
-            LOGGER.atInfo().log(
-                    "event=start_dropped task=%s run=%d worker=%s",
-                    task.ref(), run.number(), run.worker().id());
-            release(run);
-            placingWanted = true;
-            return;
-        }
-        LOGGER.atInfo().log(
-                "event=start task=%s run=%d worker=%s",
-                task.ref(), run.number(), run.worker().id());
-        task.job().markStarted();
-        orders.start(run);
-        fleet.hurry(run.worker());
-    }
-
     @Override
     public void settled(Run run) {
         if (run.phase() == RunPhase.STOPPING) {
@@ -362,13 +227,13 @@
 
     private void again(Run run, Duration delay) {
         Task task = run.task();
-        release(run);
+        run.release(context.now());
         if (!delay.isZero()) {
             task.delayUntil(context.now().plus(delay));
-            context.schedule(delay, this::requestPlacing);
+            context.schedule(delay, placer::request);
         }
         log.write(task.job(), false, null);
-        placingWanted = true;
+        placer.request();
     }
 
     @Override
@@ -382,13 +247,13 @@
         Run run = task.run();
         boolean current = run != null && run.number() == end.run() && run.worker() == worker;
         if (current) {
-            release(run);
+            run.release(context.now());
         }
         if (task.done() || !task.job().open()) {
             return log.write(task.job(), false, null);
         }
         apply(task, worker, end, current ? run : null);
-        placingWanted = true;
+        placer.request();
         return log.write(task.job(), !task.job().open(), null);
     }
 
@@ -415,7 +280,7 @@
         }
         if (task.run() == null) {
             task.delayUntil(context.now().plus(FAILURE_DELAY));
-            context.schedule(FAILURE_DELAY, this::requestPlacing);
+            context.schedule(FAILURE_DELAY, placer::request);
         }
     }
 
@@ -476,11 +341,12 @@
     public void reportApplied(WorkerState worker) {
         interference.learn(worker, context.now());
         pacing.apply(worker, context.now());
+        worker.setCritical(interference.critical(worker, context.now()));
     }
 
     @Override
     public void workersChanged() {
-        placingWanted = true;
+        placer.request();
     }
 
     @Override
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,6 +10,9 @@
 /** A step of one occurrence of an open job. */
 final class Step {
 
+    /** Single figures are rough; the load behind them takes seconds to swing. */
+    private static final Duration SLACK_SMOOTHING = Duration.ofMillis(400);
+
     private final Job job;
 
     private final int occurrence;
@@ -21,6 +25,10 @@
 
     private int doneCount;
 
+    private double slackAlone;
+
+    private Instant slackAt;
+
     Step(Job job, int occurrence, int index, StepSpec spec) {
         this.job = job;
         this.occurrence = occurrence;
@@ -59,6 +67,27 @@
         return doneCount >= tasks.size();
     }
 
+    /** Tells whether a figure showed lately what slack its tasks have alone. */
+    boolean slackAloneKnown(Duration validity, Instant now) {
+        return slackAt != null && now.isBefore(slackAt.plus(validity));
+    }
+
+    /** Returns the slack of its tasks when nothing fills beside them. */
+    double slackAlone() {
+        return slackAlone;
+    }
+
+    /** Notes what one figure shows of the slack that its tasks would have alone. */
+    void observeSlackAlone(double slack, Instant now) {
+        double weight = 1;
+        if (slackAt != null) {
+            double passed = Duration.between(slackAt, now).toMillis();
+            weight = 1 - Math.exp(-passed / SLACK_SMOOTHING.toMillis());
+        }
+        slackAlone += weight * (slack - slackAlone);
+        slackAt = now;
+    }
+
     int leftCount() {
         return Math.max(0, tasks.size() - doneCount);
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoll.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoll.java
@@ -22,6 +22,12 @@
     /** How long the worker may wait for an end; the lease is several times as long. */
     private static final Duration LONG_WAIT = Duration.ofMillis(1_500);
 
+    /** Where tasks fill, figures are needed to notice that they disturb others. */
+    private static final Duration FILLED_WAIT = Duration.ofMillis(800);
+
+    /** Where a serving task may soon miss its target: a figure covers half a second. */
+    private static final Duration CRITICAL_WAIT = Duration.ofMillis(350);
+
     /** Ends that follow closely are collected; each look at a worker is charged. */
     private static final Duration MIN_GAP = Duration.ofMillis(120);
 
@@ -107,11 +113,18 @@
             leaseSentAt = now;
         }
         long acknowledged = worker.durableEnd();
-        WorkerOrder order = new WorkerOrder.Hold(leaseEnd, fence, acknowledged, wait ? LONG_WAIT : Duration.ZERO);
+        WorkerOrder order = new WorkerOrder.Hold(leaseEnd, fence, acknowledged, wait ? waitTime() : Duration.ZERO);
         long life = worker.life();
         context.callWorker(worker.target(), order, answer -> answered(answer, acknowledged, life, now));
     }
 
+    private Duration waitTime() {
+        if (worker.critical()) {
+            return CRITICAL_WAIT;
+        }
+        return worker.filled() ? FILLED_WAIT : LONG_WAIT;
+    }
+
     private void answered(WorkerAnswer answer, long acknowledged, long life, Instant sentAt) {
         inFlight = false;
         if (answer instanceof WorkerAnswer.Report report) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
 import org.flamingopitch.scheduler.model.Resources;
@@ -26,6 +28,8 @@
 
     private final Deque<UnacknowledgedEnd> unacknowledged = new ArrayDeque<>();
 
+    private final FillHistory fillHistory = new FillHistory();
+
     private WorkerEntry entry;
 
     private Instant missingSince;
@@ -60,6 +64,14 @@
 
     private long fillCpuMillis;
 
+    private Instant observedAt = Instant.MIN;
+
+    private boolean critical;
+
+    private Instant shownAt = Instant.MIN;
+
+    private Map<String, Double> shownFills = Map.of();
+
     WorkerState(WorkerId id, Instant lapseAt) {
         this.id = id;
         this.lapseAt = lapseAt;
@@ -180,10 +192,56 @@
         runs.add(run);
         reserved = reserved.plus(run.task().step().spec().reserved());
         fillCpuMillis += fillCpu(run);
+        if (run.task().step().spec().fills()) {
+            fillHistory.started(run);
+        }
+    }
+
+    /** Notes that a run is about to change its pace. */
+    void paceChanges(Run run, Instant now) {
+        fillHistory.changes(run, now);
+    }
+
+    /** Returns the mean share of the worker that each filling image took while the newest figures were taken. */
+    Map<String, Double> shownFills(Instant now) {
+        if (!now.equals(shownAt)) {
+            shownAt = now;
+            shownFills = fillHistory.shares(entry.capacity().milliCores(), now);
+        }
+        return shownFills;
+    }
+
+    /** Returns the filling images of which a task started, ended or changed its pace after a moment. */
+    Set<String> changedFills(Instant moment) {
+        return fillHistory.changedSince(moment);
     }
 
-    void remove(Run run) {
+    /** Tells whether its figures must be followed closely. */
+    boolean critical() {
+        return critical;
+    }
+
+    void setCritical(boolean value) {
+        critical = value;
+    }
+
+    /** Tells whether a task that fills runs there. */
+    boolean filled() {
+        return fillCpuMillis > 0;
+    }
+
+    /** Returns when its figures were last learned from. */
+    Instant observedAt() {
+        return observedAt;
+    }
+
+    void observed(Instant now) {
+        observedAt = now;
+    }
+
+    void remove(Run run, Instant now) {
         if (runs.remove(run)) {
+            fillHistory.ended(run, now);
             reserved = reserved.minus(run.task().step().spec().reserved());
             fillCpuMillis -= fillCpu(run);
         }
@@ -215,6 +273,10 @@
         return keptFor != null && keptFor.run() == null && now.isBefore(keptUntil) ? keptFor : null;
     }
 
+    Instant keptUntil() {
+        return keptUntil;
+    }
+
     void keepFor(Task task, Instant until) {
         keptFor = task;
         keptUntil = until;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionTest.java
@@ -16,6 +16,9 @@
     /** Work that ends each millisecond, in thousandths of a core. */
     private static final long CAPACITY = 10_000;
 
+    /** The processors of all workers, in thousandths of a core. */
+    private static final long TOTAL = 40_000;
+
     private static final long TASK_MILLIS = 1_000;
 
     private static final int TASKS = 10;
@@ -27,7 +30,7 @@
     }
 
     private Optional<Duration> ask(JobSpec spec, List<Job> jobs) {
-        return Admission.refusal(spec, OwnerFixtures.queue(), jobs, CAPACITY, estimates, OwnerFixtures.NOW);
+        return Admission.refusal(spec, OwnerFixtures.queue(), jobs, CAPACITY, TOTAL, estimates, OwnerFixtures.NOW);
     }
 
     @Test
@@ -55,6 +58,19 @@
         assertThat(ask(small.spec(), waiting)).isEmpty();
     }
 
+    @Test
+    void lastingJobsLeaveRoomForShortOnes() {
+        JobSpec lasting = OwnerFixtures.job("l", OwnerFixtures.servingStep("web", 10_000, 40), OwnerFixtures.NOW)
+                .spec();
+        List<Job> serving = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            assertThat(ask(lasting, serving)).isEmpty();
+            serving.add(OwnerFixtures.job("l" + i, OwnerFixtures.servingStep("web", 10_000, 40), OwnerFixtures.NOW));
+        }
+        assertThat(ask(lasting, serving)).isPresent();
+        assertThat(ask(job(0, OwnerFixtures.NOW).spec(), serving)).isEmpty();
+    }
+
     @Test
     void moreCallersAreServedInTimeThanByFirstComeFirstServed() {
         List<Job> flood = new ArrayList<>();
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/InterferenceTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/InterferenceTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -10,7 +12,9 @@
 
     private static final double TARGET = 40;
 
-    private static final int REPORTS = 60;
+    private static final int REPORTS = 20;
+
+    private static final Duration REPORT_GAP = Duration.ofMillis(400);
 
     private final Interference interference = new Interference();
 
@@ -32,9 +36,10 @@
         WorkerState light = workerWith("light", 2.5);
         WorkerState heavy = workerWith("heavy", 1.2);
         for (int i = 0; i < REPORTS; i++) {
-            interference.learn(alone, OwnerFixtures.NOW);
-            interference.learn(light, OwnerFixtures.NOW);
-            interference.learn(heavy, OwnerFixtures.NOW);
+            Instant now = OwnerFixtures.NOW.minus(REPORT_GAP.multipliedBy(REPORTS - i));
+            interference.learn(alone, now);
+            interference.learn(light, now);
+            interference.learn(heavy, now);
         }
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -79,7 +79,7 @@
 
     /** Lets a task run on a worker. */
     static Run run(Task task, WorkerState worker, double figure) {
-        Run run = task.place(worker, NOW.minusSeconds(5));
+        Run run = task.place(worker, NOW.minusSeconds(30));
         worker.add(run);
         run.enter(RunPhase.RUNNING);
         run.settle(NOW);
