Go on after misses of other kinds, and order by worth for the work left

The order by least work left starves large jobs, though their worth for each unit of work is nearly that of small ones. Change: MissedRoom remembers for one pass which kinds found no room and how little they needed; JobOrder sorts by timeliness x worth / work left, against the mean work of the queue.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -199,6 +199,7 @@
             Job job = JobTable.restore(id, record, progress.get(id), fleet, context.now(), nowMillis);
             configuration.queue(job.queue().name()).ifPresent(job::reconfigure);
             jobs.add(job);
+            keeper.meanWork().add(job.queue().name(), job.spec());
         });
         log = new CommitLog(context, fence, ledgerVersion, new CommitListener());
         keeper.begin(log, fleet, this::mayAct);
@@ -246,6 +247,7 @@
         }
         Job job = new Job(submit.id(), submit.queue(), submit.spec(), context.now(), context.timeOfDayMillis());
         jobs.add(job);
+        keeper.meanWork().add(job.queue().name(), job.spec());
         LOGGER.atInfo().log(
                 "event=submitted job=%s queue=%s steps=%d open=%d",
                 job.id(),
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -13,6 +13,9 @@
 /** A job that the owner keeps. */
 final class Job {
 
+    /** After this many times its objective a job is worth nothing to its caller, says the platform's rule on credit. */
+    static final int LATEST_OBJECTIVES = 3;
+
     private final JobId id;
 
     private final JobSpec spec;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -47,6 +47,8 @@
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final MeanWork meanWork = new MeanWork();
+
     private final DrainRate drainRate = new DrainRate();
 
     private final CellSummary summary = new CellSummary();
@@ -65,7 +67,8 @@
         this.jobs = jobs;
         this.onFenced = onFenced;
         this.orders = new OrderDesk(context, fence, timings.maxLease(), this);
-        this.placer = new TaskPlacer(context, jobs, new Placement(health, interference), orders, health, estimates);
+        JobOrder order = new JobOrder(estimates, meanWork);
+        this.placer = new TaskPlacer(context, jobs, new Placement(health, interference), orders, health, order);
         this.pacing = new PaceControl(orders, interference);
     }
 
@@ -86,6 +89,10 @@
         return estimates;
     }
 
+    MeanWork meanWork() {
+        return meanWork;
+    }
+
     DrainRate drainRate() {
         return drainRate;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -4,9 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 
@@ -18,9 +16,6 @@
     /** Placing looks at all jobs that wait, so that close changes are answered together. */
     private static final Duration INTERVAL = Duration.ofMillis(25);
 
-    /** Steps without a place after which a pass ends; those that follow are less urgent and seldom find one. */
-    private static final int MISSES_A_PASS = 6;
-
     private final CellContext context;
 
     private final JobTable jobs;
@@ -33,7 +28,7 @@
 
     private final WorkerHealth health;
 
-    private final DurationEstimates estimates;
+    private final JobOrder order;
 
     private CommitLog log;
 
@@ -51,13 +46,13 @@
             Placement placement,
             OrderDesk orders,
             WorkerHealth health,
-            DurationEstimates estimates) {
+            JobOrder order) {
         this.context = context;
         this.jobs = jobs;
         this.placement = placement;
         this.orders = orders;
         this.health = health;
-        this.estimates = estimates;
+        this.order = order;
         this.roomMaker = new RoomMaker(orders, placement);
     }
 
@@ -92,8 +87,8 @@
                 waiting.add(job);
             }
         }
-        Map<Boolean, Integer> misses = new HashMap<>();
-        for (Job job : JobOrder.sort(waiting, estimates, now)) {
+        MissedRoom misses = new MissedRoom();
+        for (Job job : order.sort(waiting, now)) {
             placeJob(job, timeOfDay, misses, now);
         }
     }
@@ -109,18 +104,16 @@
         return false;
     }
 
-    private void placeJob(Job job, long timeOfDay, Map<Boolean, Integer> misses, Instant now) {
+    private void placeJob(Job job, long timeOfDay, MissedRoom misses, Instant now) {
         boolean placed = false;
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                boolean fills = step.spec().fills();
-                boolean hopeless = misses.getOrDefault(fills, 0) >= MISSES_A_PASS;
-                if (hopeless || step.done() || !step.open(timeOfDay)) {
+                if (step.done() || !step.open(timeOfDay) || misses.covers(step)) {
                     continue;
                 }
                 placed |= placeStep(step, now);
                 if (step.waitingCount(now) > 0) {
-                    misses.merge(fills, 1, Integer::sum);
+                    misses.add(step);
                 }
             }
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionTest.java
@@ -79,7 +79,9 @@
             flood.add(OwnerFixtures.job(
                     "j" + i, OwnerFixtures.fillStep("i", size, 1_000, TASK_MILLIS), OwnerFixtures.NOW));
         }
-        List<Job> ordered = JobOrder.sort(flood, estimates, OwnerFixtures.NOW);
+        MeanWork meanWork = new MeanWork();
+        flood.forEach(job -> meanWork.add(job.queue().name(), job.spec()));
+        List<Job> ordered = new JobOrder(estimates, meanWork).sort(flood, OwnerFixtures.NOW);
         assertThat(inTime(ordered)).isGreaterThan(inTime(flood));
     }
 
