Keep what a placing pass knows of a worker until it changes

Ruled out: reports (20 to 40 ms a second), polls (5 to 20 ms). Change: WorkerView, ServingSlack and PlacingPass work out a worker's room and slack once a pass, and the rating of a step's workers once a step; Placement only rates.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
@@ -36,7 +36,7 @@
         for (WorkerState worker : fleet.workers()) {
             boolean serves = worker.known() && worker.entry().service().equals(queue.service());
             if (serves && fleet.usable(worker, now)) {
-                idle += Math.max(0, Placement.unusedCpu(worker));
+                idle += Math.max(0, worker.free().milliCores() - worker.fillCpuMillis());
             }
         }
         return drainRate.perMilli(now) + idle;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -15,15 +17,6 @@
  */
 final class Interference {
 
-    /** Slack that a task takes off without a difference that matters; keeping it away would gain nothing. */
-    static final double HARMLESS = 0.08;
-
-    /** A cost with a larger standard deviation is not known: such a pair is tried with one task at a time. */
-    private static final double UNKNOWN = 4.2;
-
-    /** The cost with which a pair that is not known is tried. */
-    private static final double TRIAL_COST = 1;
-
     /** Fills that take off less than this together leave a figure that still tells the slack alone. */
     private static final double CLEAN = 0.25;
 
@@ -107,27 +100,39 @@
 
     private static boolean settled(ResponseModel model, Map<String, Double> shares, Set<String> changing) {
         return changing.stream()
-                .allMatch(image -> model.uncertainty(image) <= UNKNOWN
-                        && shares.getOrDefault(image, 0.0) * model.cost(image) <= HARMLESS);
+                .allMatch(image -> model.known(image)
+                        && shares.getOrDefault(image, 0.0) * model.cost(image) <= ServingSlack.HARMLESS);
     }
 
     private static boolean clean(ResponseModel model, Map<String, Double> shares) {
-        boolean known = shares.keySet().stream().allMatch(image -> model.uncertainty(image) <= UNKNOWN);
+        boolean known = shares.keySet().stream().allMatch(image -> model.known(image));
         return known && model.cost(shares) <= CLEAN;
     }
 
-    /** Predicts the least slack of a worker's serving tasks, with one more task beside them. */
-    double predict(WorkerState worker, StepSpec addition, Instant now) {
-        double least = Double.MAX_VALUE;
+    /** Returns the least slack of each serving image on a worker, beside what fills there. */
+    List<ServingSlack> slacks(WorkerState worker, Instant now) {
+        Map<ResponseModel, Double> least = new LinkedHashMap<>();
         for (Run serving : worker.runs()) {
             if (serving.task().step().spec().serving()) {
-                double cost = share(addition, worker) * trialCost(worker, serving, addition);
-                double slack = alone(serving, now) - presentCost(worker, serving) - cost;
-                boolean harmless = cost <= HARMLESS && slack >= 1;
-                least = Math.min(least, harmless ? Double.MAX_VALUE : slack);
+                least.merge(model(serving), alone(serving, now), Math::min);
+            }
+        }
+        List<ServingSlack> slacks = new ArrayList<>();
+        least.forEach((model, alone) -> slacks.add(beside(worker, model, alone)));
+        return slacks;
+    }
+
+    private static ServingSlack beside(WorkerState worker, ResponseModel model, double alone) {
+        double cost = 0;
+        boolean trialRuns = false;
+        for (Run run : worker.runs()) {
+            StepSpec spec = run.task().step().spec();
+            if (spec.fills()) {
+                cost += share(spec, worker) * model.cost(spec.imageName()) * Math.max(0, run.pacedTo()) / FULL;
+                trialRuns |= !model.known(spec.imageName());
             }
         }
-        return least;
+        return new ServingSlack(model, alone - cost, trialRuns);
     }
 
     /**
@@ -171,7 +176,7 @@
                 sum += fullCost(serving, fill);
             }
         }
-        return sum > HARMLESS && alone(serving, now) - sum < CRITICAL;
+        return sum > ServingSlack.HARMLESS && alone(serving, now) - sum < CRITICAL;
     }
 
     /** Returns the slack that a filling task takes off a serving one at full speed. */
@@ -187,7 +192,7 @@
 
     /** Tells whether it is known how much a filling task disturbs a serving one. */
     boolean known(Run serving, StepSpec fill) {
-        return model(serving).uncertainty(fill.imageName()) <= UNKNOWN;
+        return model(serving).known(fill.imageName());
     }
 
     /** Returns the processor time that serving tasks reserve and do not use on average. */
@@ -207,28 +212,6 @@
         return known && run.percent() >= FULL ? spec.targetMillis() / run.figure() : 0;
     }
 
-    private double presentCost(WorkerState worker, Run serving) {
-        double sum = 0;
-        for (Run fill : worker.runs()) {
-            if (fill.task().step().spec().fills()) {
-                sum += fullCost(serving, fill) * Math.max(0, fill.pacedTo()) / FULL;
-            }
-        }
-        return sum;
-    }
-
-    /** Returns the cost to reckon with for one more task; an unknown pair is tried unless another trial runs there. */
-    private double trialCost(WorkerState worker, Run serving, StepSpec addition) {
-        double cost = model(serving).cost(addition.imageName());
-        if (known(serving, addition)) {
-            return cost;
-        }
-        boolean trialRuns = worker.runs().stream()
-                .map(run -> run.task().step().spec())
-                .anyMatch(spec -> spec.fills() && !known(serving, spec));
-        return trialRuns ? Double.MAX_VALUE : Math.min(cost, TRIAL_COST);
-    }
-
     private ResponseModel model(Run serving) {
         return model(serving.task().step().spec());
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
@@ -124,7 +124,7 @@
 
     private boolean tolerates(Run serving, double slack, Run fill, int level) {
         double cost = interference.fullCost(serving, fill) * level / FULL;
-        return slack - cost >= KEPT_SLACK || cost <= Interference.HARMLESS;
+        return slack - cost >= KEPT_SLACK || cost <= ServingSlack.HARMLESS;
     }
 
     /** Tells whether a task is known to disturb a serving one too much under an average load, even when slowed. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ResponseModel.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ResponseModel.java
@@ -22,6 +22,9 @@
 
     private static final double COST_VARIANCE = 49;
 
+    /** A cost with a larger standard deviation is not known; one clear figure brings it below. */
+    private static final double UNKNOWN = 4.2;
+
     /** Below this slack a serving task is saturated, and the figure no longer tells how far. */
     private static final double SATURATED = 0.4;
 
@@ -60,6 +63,11 @@
                 position == null ? COST_VARIANCE : covariances.get(position).get(position));
     }
 
+    /** Tells whether enough was seen of a filling image; one that is not known is tried with one task at a time. */
+    boolean known(String filling) {
+        return uncertainty(filling) <= UNKNOWN;
+    }
+
     /** Learns from a figure of a task beside which nothing fills that matters. */
     void observeAlone(double slack) {
         baseline += BASELINE_SMOOTHING * (slack - baseline);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RoomMaker.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RoomMaker.java
@@ -52,7 +52,7 @@
         List<Run> cheapest = null;
         for (WorkerState worker : workers) {
             boolean candidate = usable.test(worker) && worker.keptFor(now) == null;
-            List<Run> victims = candidate && placement.permits(task, worker) ? victims(task, worker) : null;
+            List<Run> victims = candidate && placement.permits(task.step(), worker) ? victims(task, worker) : null;
             if (victims != null && (cheapest == null || victims.size() < cheapest.size())) {
                 best = worker;
                 cheapest = victims;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -88,8 +88,9 @@
             }
         }
         MissedRoom misses = new MissedRoom();
+        PlacingPass pass = placement.begin(fleet.workers(), each -> usable(each, now), now);
         for (Job job : order.sort(waiting, now)) {
-            placeJob(job, timeOfDay, misses, now);
+            placeJob(job, timeOfDay, misses, pass, now);
         }
     }
 
@@ -104,14 +105,14 @@
         return false;
     }
 
-    private void placeJob(Job job, long timeOfDay, MissedRoom misses, Instant now) {
+    private void placeJob(Job job, long timeOfDay, MissedRoom misses, PlacingPass pass, Instant now) {
         boolean placed = false;
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
                 if (step.done() || !step.open(timeOfDay) || misses.covers(step)) {
                     continue;
                 }
-                placed |= placeStep(step, now);
+                placed |= placeStep(step, pass, now);
                 if (step.waitingCount(now) > 0) {
                     misses.add(step);
                 }
@@ -122,29 +123,35 @@
         }
     }
 
-    private boolean placeStep(Step step, Instant now) {
+    private boolean placeStep(Step step, PlacingPass pass, Instant now) {
         boolean placed = false;
+        PlacingPass.Search search = pass.search(step);
         for (Task task : step.tasks()) {
             if (!task.waiting(now)) {
                 continue;
             }
-            WorkerState worker = placement.choose(task, fleet.workers(), each -> usable(each, now), now);
-            if (worker == null) {
-                if (step.spec().lasting()) {
-                    roomMaker
-                            .makeRoom(task, fleet.workers(), each -> usable(each, now), now)
-                            .ifPresent(delay -> context.schedule(delay, this::request));
-                }
+            WorkerView view = search.best(task);
+            if (view == null) {
+                makeRoom(task, now);
                 return placed;
             }
-            Run run = task.place(worker, now);
-            worker.add(run);
+            Run run = task.place(view.worker(), now);
+            view.worker().add(run);
+            search.placed(view);
             log.write(task.job(), true, () -> startIfStillWanted(run));
             placed = true;
         }
         return placed;
     }
 
+    private void makeRoom(Task task, Instant now) {
+        if (task.step().spec().lasting()) {
+            roomMaker
+                    .makeRoom(task, fleet.workers(), each -> usable(each, now), now)
+                    .ifPresent(delay -> context.schedule(delay, this::request));
+        }
+    }
+
     private boolean usable(WorkerState worker, Instant now) {
         return fleet.usable(worker, now) && !health.quarantined(worker.id(), now);
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/InterferenceTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/InterferenceTest.java
@@ -47,10 +47,9 @@
     void predictsLessSlackBesideTheHeavyImage() {
         learn();
         WorkerState worker = workerWith("", 2.6);
-        double besideLight =
-                interference.predict(worker, OwnerFixtures.fillStep("light", 1, 1_000, 1_000), OwnerFixtures.NOW);
-        double besideHeavy =
-                interference.predict(worker, OwnerFixtures.fillStep("heavy", 1, 1_000, 1_000), OwnerFixtures.NOW);
+        WorkerView view = new WorkerView(worker, interference, OwnerFixtures.NOW);
+        double besideLight = view.predict(OwnerFixtures.fillStep("light", 1, 1_000, 1_000));
+        double besideHeavy = view.predict(OwnerFixtures.fillStep("heavy", 1, 1_000, 1_000));
         assertThat(besideLight).isGreaterThan(2.3);
         assertThat(besideHeavy).isLessThan(1.6);
     }
@@ -62,9 +61,12 @@
         WorkerState busy = workerWith("", 1.7);
         Job light = OwnerFixtures.job("light", OwnerFixtures.fillStep("light", 1, 1_000, 1_000), OwnerFixtures.NOW);
         Job heavy = OwnerFixtures.job("heavy", OwnerFixtures.fillStep("heavy", 1, 1_000, 1_000), OwnerFixtures.NOW);
-        assertThat(placement.choose(OwnerFixtures.task(light), List.of(busy), each -> true, OwnerFixtures.NOW))
-                .isSameAs(busy);
-        assertThat(placement.choose(OwnerFixtures.task(heavy), List.of(busy), each -> true, OwnerFixtures.NOW))
-                .isNull();
+        PlacingPass pass = placement.begin(List.of(busy), each -> true, OwnerFixtures.NOW);
+        assertThat(best(pass, light).worker()).isSameAs(busy);
+        assertThat(best(pass, heavy)).isNull();
+    }
+
+    private static WorkerView best(PlacingPass pass, Job job) {
+        return pass.search(job.step(0, 0)).best(OwnerFixtures.task(job));
     }
 }
