Start hosts from a class archive

The start of the Java runtime, with all work charged in full at 0.3 cores, was most of it. Ruled out: the former owner's lease (over at 36.0 s) and the election (0.25 s).

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -122,6 +122,15 @@
         return id;
     }
 
+    /**
+     * Returns where callers connect.
+     *
+     * @return the address with the actual port
+     */
+    public HostPort callerAddress() {
+        return callers.boundAddress();
+    }
+
     @Override
     public void start() {
         supervisor.start();
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -23,6 +23,8 @@
 
     private static final String SETTINGS = "settings";
 
+    private static final String REHEARSE = "rehearse";
+
     @Override
     public String summary() {
         return "Runs a host on the users' platform; SIGTERM shuts it down gracefully.";
@@ -30,12 +32,16 @@
 
     @Override
     public String arguments() {
-        return "[--settings FILE]";
+        return "[--settings FILE | --rehearse]";
     }
 
     @Override
     public Options options() {
         return new Options()
+                .addOption(Option.builder()
+                        .longOpt(REHEARSE)
+                        .desc("load what a host needs and end; for the class archive that the build makes")
+                        .get())
                 .addOption(Option.builder()
                         .longOpt(SETTINGS)
                         .hasArg()
@@ -46,6 +52,9 @@
 
     @Override
     public ExitCode run(CommandLine line) throws InterruptedException {
+        if (line.hasOption(REHEARSE)) {
+            return Rehearsal.run();
+        }
         String path = line.getOptionValue(SETTINGS, System.getenv(PlatformSettings.PATH_VARIABLE));
         if (path == null) {
             throw new UsageException("--settings or " + PlatformSettings.PATH_VARIABLE + " is needed");
