Write logs from a thread of their own and serve metrics on the platform

Cause: a host's logs were written by the thread that decides, without bound, to standard error; no metrics were served on the platform.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -26,7 +26,9 @@
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.transport.http.HostPort;
+import org.flamingopitch.transport.http.HttpCall;
 import org.flamingopitch.transport.http.HttpClient;
+import org.flamingopitch.transport.http.HttpReply;
 import org.flamingopitch.transport.http.HttpRoutes;
 import org.flamingopitch.transport.http.HttpServer;
 import org.flamingopitch.transport.peer.RequestOutcome;
@@ -49,6 +51,10 @@
 
     private final TimeSource clock;
 
+    private final CellMetrics metrics;
+
+    private final int metricsPort;
+
     private final HttpClient http;
 
     private final HttpServer callers;
@@ -77,16 +83,25 @@
      * Creates a host.
      *
      * @param settings what the platform tells about it
+     * @param telemetry how the host is observed
      * @param clock the steady clock
      * @param timeOfDay the time of day
      * @param onFailure learns of a failure after which the process must end
      */
-    public CellHost(PlatformSettings settings, TimeSource clock, Clock timeOfDay, Consumer<String> onFailure) {
+    public CellHost(
+            PlatformSettings settings,
+            Telemetry telemetry,
+            TimeSource clock,
+            Clock timeOfDay,
+            Consumer<String> onFailure) {
         this.clock = clock;
+        metrics = new CellMetrics(telemetry.droppedLogLines());
+        metricsPort = telemetry.metricsPort();
         id = new ProcessId(settings.hostName() + "." + Long.toString(timeOfDay.millis(), Character.MAX_RADIX));
         http = new HttpClient("platform-client", clock);
         StoreClient store = new StoreClient(http, settings.store());
-        context = new HostContext(clock, timeOfDay, store, new WorkerClient(http, clock), new WorkerDirectory(store));
+        context = new HostContext(
+                clock, timeOfDay, store, new WorkerClient(http, clock), new WorkerDirectory(store), metrics);
         loop = new SingleWriterLoop<>(
                 "core", LOOP_CAPACITY, this::apply, IDLE_TIME, this::afterBatch, error -> failed(error, onFailure));
         context.attach(loop);
@@ -97,8 +112,8 @@
         callers = new HttpServer(
                 "callers",
                 settings.callers(),
-                List.of(settings.readiness()),
-                new HttpRoutes().otherwise(front::handle),
+                furtherAddresses(settings),
+                new HttpRoutes().otherwise(call -> serve(call, front)),
                 1);
         configurations = new ConfigurationSource(context, node::configure);
         supervisor = new Supervisor("host", clock, onFailure);
@@ -181,8 +196,29 @@
         loop.publish(() -> node.answerPeer(request, reply));
     }
 
+    private List<HostPort> furtherAddresses(PlatformSettings settings) {
+        if (metricsPort == Telemetry.NO_PORT) {
+            return List.of(settings.readiness());
+        }
+        return List.of(settings.readiness(), new HostPort(settings.ip(), metricsPort));
+    }
+
+    private void serve(HttpCall call, CallerFront front) {
+        if (call.localPort() == metricsPort) {
+            call.answer(HttpReply.text(HttpReply.OK, metrics.text()));
+        } else {
+            front.handle(call);
+        }
+    }
+
     private void handle(CallerCall call, Consumer<CallerReply> reply) {
-        loop.publish(() -> node.handle(withinOpenTime(call), reply));
+        Instant startedAt = clock.now();
+        String request = HostContext.kind(call.verb());
+        Consumer<CallerReply> counted = answer -> {
+            metrics.answered(request, HostContext.kind(answer), Duration.between(startedAt, clock.now()));
+            reply.accept(answer);
+        };
+        loop.publish(() -> node.handle(withinOpenTime(call), counted));
     }
 
     private CallerCall withinOpenTime(CallerCall call) {
@@ -204,6 +240,7 @@
         context.runTimers();
         node.tick();
         ready = !draining && node.ready();
+        metrics.update(node.owning(), node.openJobs());
     }
 
     private static void failed(Throwable error, Consumer<String> onFailure) {
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -31,18 +31,27 @@
 
     private final WorkerDirectory directory;
 
+    private final CellMetrics metrics;
+
     private final TimerQueue timers = new TimerQueue();
 
     private SingleWriterLoop<Runnable> loop;
 
     private Instant now;
 
-    HostContext(TimeSource clock, Clock timeOfDay, StoreClient store, WorkerClient workers, WorkerDirectory directory) {
+    HostContext(
+            TimeSource clock,
+            Clock timeOfDay,
+            StoreClient store,
+            WorkerClient workers,
+            WorkerDirectory directory,
+            CellMetrics metrics) {
         this.clock = clock;
         this.timeOfDay = timeOfDay;
         this.store = store;
         this.workers = workers;
         this.directory = directory;
+        this.metrics = metrics;
         this.now = clock.now();
     }
 
@@ -75,7 +84,11 @@
 
     @Override
     public void keyValue(KeyValueRequest request, Consumer<KeyValueResult> handler) {
-        store.call(request, result -> loop.publish(() -> handler.accept(result)));
+        Instant sentAt = clock.now();
+        store.call(request, result -> {
+            metrics.storeCalled(kind(request), kind(result), Duration.between(sentAt, clock.now()));
+            loop.publish(() -> handler.accept(result));
+        });
     }
 
     @Override
@@ -85,11 +98,20 @@
 
     @Override
     public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
-        workers.call(target, order, answer -> loop.publish(() -> handler.accept(answer)));
+        Instant sentAt = clock.now();
+        workers.call(target, order, answer -> {
+            metrics.workerCalled(kind(order), kind(answer), Duration.between(sentAt, clock.now()));
+            loop.publish(() -> handler.accept(answer));
+        });
     }
 
     @Override
     public void listWorkers(Consumer<WorkerListing> handler) {
         directory.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
+
+    /** Returns the label of a request or an answer: their kinds are sealed, so that labels are bounded. */
+    static String kind(Object value) {
+        return value.getClass().getSimpleName();
+    }
 }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -11,6 +11,9 @@
 import org.apache.commons.cli.Options;
 import org.flamingopitch.coordination.api.SystemTimeSourceClock;
 import org.flamingopitch.daemon.cell.CellHost;
+import org.flamingopitch.daemon.cell.Telemetry;
+import org.flamingopitch.daemon.log.BoundedLogHandler;
+import org.flamingopitch.daemon.log.LogFormat;
 import org.flamingopitch.platform.PlatformSettings;
 
 /** Runs a host of the system on the users' platform until it is told to stop. */
@@ -23,6 +26,8 @@
 
     private static final String SETTINGS = "settings";
 
+    private static final String METRICS_PORT = "metrics-port";
+
     private static final String REHEARSE = "rehearse";
 
     @Override
@@ -32,12 +37,18 @@
 
     @Override
     public String arguments() {
-        return "[--settings FILE | --rehearse]";
+        return "[--settings FILE] [--metrics-port PORT] | --rehearse";
     }
 
     @Override
     public Options options() {
         return new Options()
+                .addOption(Option.builder()
+                        .longOpt(METRICS_PORT)
+                        .hasArg()
+                        .argName("PORT")
+                        .desc("the port at which metrics are served; default: none")
+                        .get())
                 .addOption(Option.builder()
                         .longOpt(REHEARSE)
                         .desc("load what a host needs and end; for the class archive that the build makes")
@@ -61,12 +72,15 @@
         }
         PlatformSettings settings = readSettings(path);
         CountDownLatch failed = new CountDownLatch(1);
-        CellHost host =
-                new CellHost(settings, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> failed.countDown());
+        BoundedLogHandler log = LogFormat.installBounded();
+        Telemetry telemetry = new Telemetry(metricsPort(line), log::dropped);
+        CellHost host = new CellHost(
+                settings, telemetry, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> failed.countDown());
         host.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(host, settings), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(host, settings, log), "shutdown"));
         LOGGER.atInfo().log("event=started process=%s callers=%s", host.id(), settings.callers());
         failed.await();
+        log.stop();
         Runtime.getRuntime().halt(ExitCode.FAILED.code());
         return ExitCode.FAILED;
     }
@@ -79,7 +93,16 @@
         }
     }
 
-    private static void shutDown(CellHost host, PlatformSettings settings) {
+    private static int metricsPort(CommandLine line) {
+        String text = line.getOptionValue(METRICS_PORT, Integer.toString(Telemetry.NO_PORT));
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new UsageException("--" + METRICS_PORT + " must be a port, found \"" + text + "\"");
+        }
+    }
+
+    private static void shutDown(CellHost host, PlatformSettings settings, BoundedLogHandler log) {
         long millis = (long) (settings.stopTime().toMillis() * ANSWERING_SHARE);
         host.drain(Duration.ofMillis(millis));
         try {
@@ -88,6 +111,7 @@
             Thread.currentThread().interrupt();
         }
         LOGGER.atInfo().log("event=stopped process=%s", host.id());
+        log.stop();
         // Nothing is kept on the host, and an orderly end of all threads may outlast the time to stop.
         Runtime.getRuntime().halt(ExitCode.OK.code());
     }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/Main.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/Main.java
@@ -7,6 +7,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
+import org.flamingopitch.daemon.log.LogFormat;
 import org.flamingopitch.daemon.settings.DocumentException;
 
 /** Finds the command, parses its options and reports errors in one line. */
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/Rehearsal.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/Rehearsal.java
@@ -14,6 +14,7 @@
 import org.flamingopitch.coordination.api.ProcessId;
 import org.flamingopitch.coordination.api.SystemTimeSourceClock;
 import org.flamingopitch.daemon.cell.CellHost;
+import org.flamingopitch.daemon.cell.Telemetry;
 import org.flamingopitch.platform.PlatformSettings;
 import org.flamingopitch.scheduler.cell.owner.CellTimings;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
@@ -48,7 +49,12 @@
         loadOwnClasses();
         JsonCodec codec = JsonCodec.compact();
         codec.decode(codec.encode(new OwnerRecord(new ProcessId("rehearsal"), "127.0.0.1:1")), OwnerRecord.class);
-        CellHost host = new CellHost(settings(), new SystemTimeSourceClock(), Clock.systemUTC(), cause -> {});
+        CellHost host = new CellHost(
+                settings(),
+                new Telemetry(Telemetry.NO_PORT, () -> 0),
+                new SystemTimeSourceClock(),
+                Clock.systemUTC(),
+                cause -> {});
         host.start();
         try (OperatorClient client = new OperatorClient(host.callerAddress())) {
             HttpOutcome outcome = client.send("GET", "/q/0123456789abcdef", "");
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the structured logs. */
+package org.flamingopitch.daemon.log;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -131,10 +131,24 @@
         return !draining && desk.configuration().isPresent() && reachable;
     }
 
-    boolean owning() {
+    /**
+     * Tells whether this host owns the cell.
+     *
+     * @return whether it does
+     */
+    public boolean owning() {
         return cell != null;
     }
 
+    /**
+     * Counts the open jobs of the cell, if this host owns it.
+     *
+     * @return the number, 0 on other hosts
+     */
+    public int openJobs() {
+        return cell == null ? 0 : cell.openJobs();
+    }
+
     boolean askLocally(JobRequest request, Consumer<JobAnswer> answer) {
         if (cell == null) {
             return false;
