--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobOrder.java
@@ -21,6 +21,12 @@
     /** What a job is worth after its objective, as a share of what it is worth before: the users' sheets give 0.15. */
     private static final double LATE_WORTH = 0.15;
 
+    /**
+     * Weight of jobs of which tasks have started, against those that wait as a whole. Without it each new job takes the
+     * room that older ones need to end in time, and most end late: 4 s between the first and the last start of a step.
+     */
+    private static final double STARTED_WEIGHT = 3;
+
     /** Jobs that nobody waits for any more come last, the least work first. */
     private static final double WORTHLESS = 0.001;
 
@@ -51,7 +57,8 @@
         double size =
                 (double) totalWork(job) / Math.max(1, meanWork.of(job.queue().name()));
         double worth = Math.min(HIGHEST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * size);
-        return timeliness(job, now) * worth / Math.max(1, workLeft(job, estimates));
+        double weight = job.started() ? STARTED_WEIGHT : 1;
+        return weight * timeliness(job, now) * worth / Math.max(1, workLeft(job, estimates));
     }
 
     private double timeliness(Job job, Instant now) {
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobOrderTest.java
@@ -0,0 +1,76 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Load: a flood of jobs with several tasks each, of which the workers can run only some at a time. */
+final class JobOrderTest {
+
+    private static final long TASK_MILLIS = 1_000;
+
+    private final DurationEstimates estimates = new DurationEstimates();
+
+    private final MeanWork meanWork = new MeanWork();
+
+    private final JobOrder order = new JobOrder(estimates, meanWork);
+
+    private Job job(String id, int tasks, Duration age) {
+        Job job = OwnerFixtures.job(
+                id, OwnerFixtures.fillStep("i", tasks, 1_000, TASK_MILLIS), OwnerFixtures.NOW.minus(age));
+        meanWork.add(job.queue().name(), job.spec());
+        return job;
+    }
+
+    private List<Job> sort(Job... jobs) {
+        return order.sort(List.of(jobs), OwnerFixtures.NOW);
+    }
+
+    @Test
+    void jobThatHasStartedGoesBeforeANewOneThatIsSmaller() {
+        Job started = job("a", 8, Duration.ofMillis(100));
+        started.markStarted();
+        Job smaller = job("b", 4, Duration.ZERO);
+        assertThat(sort(smaller, started)).containsExactly(started, smaller);
+    }
+
+    @Test
+    void jobThatIsLateGoesBehindOneThatCanBeInTime() {
+        Job late = job("a", 8, Duration.ofSeconds(4));
+        late.markStarted();
+        Job fresh = job("b", 8, Duration.ZERO);
+        assertThat(sort(late, fresh)).containsExactly(fresh, late);
+    }
+
+    @Test
+    void lastTaskOfALateJobGoesBeforeANewJob() {
+        Job late = job("a", 10, Duration.ofSeconds(4));
+        late.markStarted();
+        for (int i = 0; i < 9; i++) {
+            late.step(0, 0).countDone();
+        }
+        Job fresh = job("b", 10, Duration.ZERO);
+        assertThat(sort(fresh, late)).containsExactly(late, fresh);
+    }
+
+    @Test
+    void jobThatNobodyWaitsForComesLast() {
+        Job forgotten = job("a", 1, Duration.ofSeconds(20));
+        Job late = job("b", 20, Duration.ofSeconds(4));
+        assertThat(sort(forgotten, late)).containsExactly(late, forgotten);
+    }
+
+    @Test
+    void startedLargeJobGoesBeforeAllNewSmallOnes() {
+        List<Job> flood = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            flood.add(job("s" + i, 8, Duration.ZERO));
+            flood.add(job("l" + i, 16, Duration.ofMillis(i)));
+        }
+        flood.stream().filter(job -> job.id().value().equals("l7")).forEach(Job::markStarted);
+        assertThat(order.sort(flood, OwnerFixtures.NOW).get(0).id().value()).isEqualTo("l7");
+    }
+}
