Keep what an owner learned for its successor; an unreadable answer is in doubt at once

Cause: after each takeover costs of pairs of images and ratios of durations were learned anew. Change: LearnedRecord, written with a transaction every 3 s, read by the loader. JobCodec turns an unreadable answer into a lost one.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -31,7 +31,6 @@
 import org.flamingopitch.transport.http.HttpReply;
 import org.flamingopitch.transport.http.HttpRoutes;
 import org.flamingopitch.transport.http.HttpServer;
-import org.flamingopitch.transport.peer.RequestOutcome;
 import org.flamingopitch.transport.peer.RequestTransport;
 
 /** One host of the system: its connections, and the core that decides. */
@@ -175,21 +174,11 @@
     @Override
     public void forward(OwnerRecord owner, JobRequest request, Duration timeout, Consumer<ForwardOutcome> handler) {
         peers.send(HostPort.parse(owner.address()), codec.encode(request), timeout, outcome -> {
-            ForwardOutcome forwarded = decode(outcome);
+            ForwardOutcome forwarded = codec.decode(outcome);
             loop.publish(() -> handler.accept(forwarded));
         });
     }
 
-    private ForwardOutcome decode(RequestOutcome outcome) {
-        if (outcome instanceof RequestOutcome.Answered answered) {
-            return new ForwardOutcome.Answered(codec.decodeAnswer(answered.body()));
-        }
-        if (outcome instanceof RequestOutcome.Lost lost) {
-            return new ForwardOutcome.Lost(lost.detail());
-        }
-        return new ForwardOutcome.NotSent(((RequestOutcome.NotSent) outcome).detail());
-    }
-
     private void asked(byte[] body, Consumer<byte[]> answer) {
         JobRequest request = codec.decodeRequest(body);
         Consumer<JobAnswer> reply = each -> answer.accept(codec.encode(each));
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
@@ -2,15 +2,20 @@
 
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
+import org.flamingopitch.transport.peer.RequestOutcome;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Encodes what hosts ask each other as MessagePack. */
 final class JobCodec {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final ObjectWriter requestWriter;
 
     private final ObjectReader requestReader;
@@ -44,6 +49,22 @@
         return read(answerReader, bytes);
     }
 
+    /** Translates what became of a request; an answer that cannot be read may have been carried out like a lost one. */
+    ForwardOutcome decode(RequestOutcome outcome) {
+        if (outcome instanceof RequestOutcome.Answered answered) {
+            try {
+                return new ForwardOutcome.Answered(decodeAnswer(answered.body()));
+            } catch (IllegalArgumentException e) {
+                LOGGER.atWarning().log("event=answer_unreadable step=peer.ask detail=\"%s\"", e.getMessage());
+                return new ForwardOutcome.Lost("the answer cannot be read: " + e.getMessage());
+            }
+        }
+        if (outcome instanceof RequestOutcome.Lost lost) {
+            return new ForwardOutcome.Lost(lost.detail());
+        }
+        return new ForwardOutcome.NotSent(((RequestOutcome.NotSent) outcome).detail());
+    }
+
     private static byte[] write(ObjectWriter writer, Object message) {
         try {
             return writer.writeValueAsBytes(message);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
@@ -14,6 +14,9 @@
     /** The number of the last transaction of any owner. */
     public static final String LEDGER = "flamingopitch/ledger";
 
+    /** What owners have learned. */
+    public static final String LEARNED = "flamingopitch/learned";
+
     /** The prefix of what callers submitted. */
     public static final String JOB_PREFIX = "flamingopitch/job/";
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoader.java
@@ -28,6 +28,8 @@
 
     private Map<JobId, ProgressRecord> progress;
 
+    private LearnedRecord learned;
+
     private boolean ledgerRead;
 
     private long ledgerVersion;
@@ -43,6 +45,7 @@
         readLedger();
         readJobs();
         readProgress();
+        readLearned();
     }
 
     void close() {
@@ -77,6 +80,15 @@
         });
     }
 
+    private void readLearned() {
+        call(new KeyValueRequest.Get(CellKeys.LEARNED), this::readLearned, result -> {
+            learned = LearnedRecord.NOTHING;
+            if (result instanceof KeyValueResult.Found found) {
+                learned = JsonCodec.compact().decode(found.entry().value(), LearnedRecord.class);
+            }
+        });
+    }
+
     private static List<KeyValueEntry> entries(KeyValueResult result) {
         return ((KeyValueResult.Listed) result).entries();
     }
@@ -98,8 +110,8 @@
                 return;
             }
             apply.accept(result);
-            if (ledgerRead && jobs != null && progress != null) {
-                target.loaded(ledgerVersion, jobs, progress);
+            if (ledgerRead && jobs != null && progress != null && learned != null) {
+                target.loaded(ledgerVersion, jobs, progress, learned);
             }
         });
     }
@@ -108,6 +120,10 @@
     interface Target {
 
         /** Everything was read. */
-        void loaded(long ledgerVersion, Map<JobId, JobRecord> jobs, Map<JobId, ProgressRecord> progress);
+        void loaded(
+                long ledgerVersion,
+                Map<JobId, JobRecord> jobs,
+                Map<JobId, ProgressRecord> progress,
+                LearnedRecord learned);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -193,7 +193,12 @@
         return context.now().isBefore(election.confirmedAt().plus(STORE_SILENCE));
     }
 
-    private void loaded(long ledgerVersion, Map<JobId, JobRecord> records, Map<JobId, ProgressRecord> progress) {
+    private void loaded(
+            long ledgerVersion,
+            Map<JobId, JobRecord> records,
+            Map<JobId, ProgressRecord> progress,
+            LearnedRecord learned) {
+        keeper.restore(learned);
         long nowMillis = context.timeOfDayMillis();
         records.forEach((id, record) -> {
             Job job = JobTable.restore(id, record, progress.get(id), fleet, context.now(), nowMillis);
@@ -201,7 +206,7 @@
             jobs.add(job);
             keeper.meanWork().add(job.queue().name(), job.spec());
         });
-        log = new CommitLog(context, fence, ledgerVersion, new CommitListener());
+        log = new CommitLog(context, fence, ledgerVersion, keeper::learned, new CommitListener());
         keeper.begin(log, fleet, this::mayAct);
         LOGGER.atInfo().log(
                 "event=cell_loaded fence=%d jobs=%d open=%d ms=%d",
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
@@ -24,8 +25,11 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Room in a transaction beside its two conditions and the ledger; the store takes 32 entries. */
-    private static final int MAX_CHANGES = 29;
+    /** Room in a transaction beside two conditions, the ledger and what was learned; the store takes 32 entries. */
+    private static final int MAX_CHANGES = 28;
+
+    /** How much of what was learned a successor may miss. */
+    private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(3);
 
     /** How long changes that nobody waits for are collected; each call to the store is charged. */
     private static final Duration COLLECT_TIME = Duration.ofMillis(120);
@@ -39,6 +43,8 @@
 
     private final Listener listener;
 
+    private final Supplier<LearnedRecord> learned;
+
     private final Map<JobId, Change> changes = new LinkedHashMap<>();
 
     private long ledgerVersion;
@@ -49,17 +55,26 @@
 
     private Instant lastSentAt = Instant.MIN;
 
+    private Instant learnedWrittenAt;
+
     private boolean timerSet;
 
     private boolean closed;
 
     private long transactions;
 
-    CommitLog(CellContext context, long ownerVersion, long ledgerVersion, Listener listener) {
+    CommitLog(
+            CellContext context,
+            long ownerVersion,
+            long ledgerVersion,
+            Supplier<LearnedRecord> learned,
+            Listener listener) {
         this.context = context;
         this.ownerVersion = ownerVersion;
         this.ledgerVersion = ledgerVersion;
         this.listener = listener;
+        this.learned = learned;
+        this.learnedWrittenAt = context.now();
     }
 
     void close() {
@@ -152,6 +167,7 @@
             firstSequence = Math.min(firstSequence, change.firstSequence);
             waiting.remove();
         }
+        addLearnedIfDue(writes);
         String mark = ownerVersion + "." + transactions;
         writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, mark, null));
         List<KeyValueRequest.Condition> conditions = List.of(
@@ -161,6 +177,14 @@
         return new Batch(request, mark, taken, firstSequence);
     }
 
+    private void addLearnedIfDue(List<KeyValueRequest.Write> writes) {
+        if (!context.now().isBefore(learnedWrittenAt.plus(LEARNED_INTERVAL))) {
+            learnedWrittenAt = context.now();
+            String text = JsonCodec.compact().encode(learned.get());
+            writes.add(new KeyValueRequest.Write(CellKeys.LEARNED, text, null));
+        }
+    }
+
     private void send(Batch batch) {
         Instant sentAt = context.now();
         context.keyValue(batch.request, result -> answered(batch, result, sentAt));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
@@ -1,6 +1,8 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 
@@ -23,6 +25,18 @@
         return expected <= 0 ? 1 : ratio / expected;
     }
 
+    /** Returns what was learned, to be kept. */
+    List<LearnedRecord.Duration> records() {
+        List<LearnedRecord.Duration> records = new ArrayList<>();
+        ratios.forEach((queue, ratio) -> records.add(new LearnedRecord.Duration(queue, ratio)));
+        return records;
+    }
+
+    /** Takes over what another owner learned. */
+    void restore(List<LearnedRecord.Duration> records) {
+        records.forEach(record -> ratios.put(record.queue(), record.ratio()));
+    }
+
     long expectedMillis(QueueName queue, long estimateMillis) {
         return (long) (estimateMillis * ratios.getOrDefault(queue, 1.0));
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Interference.java
@@ -78,6 +78,20 @@
         return alone(step, now) - model(step.spec()).cost(shares) - slack > UNEXPLAINED;
     }
 
+    /** Returns what was learned, to be kept. */
+    List<LearnedRecord.Response> records() {
+        List<LearnedRecord.Response> records = new ArrayList<>();
+        models.forEach((image, model) -> records.add(model.record(image)));
+        return records;
+    }
+
+    /** Takes over what another owner learned. */
+    void restore(List<LearnedRecord.Response> records) {
+        for (LearnedRecord.Response record : records) {
+            models.computeIfAbsent(record.serving(), key -> new ResponseModel()).restore(record);
+        }
+    }
+
     private void learnFills(Step step, double slack, Map<String, Double> shares, Instant now) {
         boolean known = step.slackAloneKnown(ALONE_VALID, now);
         double variance = known ? FIGURE_VARIANCE : SWING_VARIANCE;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ResponseModel.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ResponseModel.java
@@ -96,6 +96,24 @@
         correct(error, weights, variance);
     }
 
+    /** Returns what was learned of the image, to be kept. */
+    LearnedRecord.Response record(String serving) {
+        List<LearnedRecord.Cost> costs = new ArrayList<>();
+        positions.forEach((filling, position) -> costs.add(new LearnedRecord.Cost(
+                filling, means.get(position), covariances.get(position).get(position))));
+        return new LearnedRecord.Response(serving, baseline, costs);
+    }
+
+    /** Takes over what another owner learned. */
+    void restore(LearnedRecord.Response record) {
+        baseline = record.baseline();
+        for (LearnedRecord.Cost cost : record.costs()) {
+            int position = positions.computeIfAbsent(cost.filling(), key -> grow());
+            means.set(position, cost.slack());
+            covariances.get(position).set(position, cost.variance());
+        }
+    }
+
     private void correct(double error, double[] weights, double variance) {
         double[] projected = new double[weights.length];
         double total = variance;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunKeeper.java
@@ -97,6 +97,17 @@
         return drainRate;
     }
 
+    /** Returns what was learned, to be kept for a successor. */
+    LearnedRecord learned() {
+        return new LearnedRecord(estimates.records(), interference.records());
+    }
+
+    /** Takes over what another owner learned. */
+    void restore(LearnedRecord record) {
+        estimates.restore(record.durations());
+        interference.restore(record.responses());
+    }
+
     /** Asks for another look at the tasks that wait. */
     void requestPlacing() {
         placer.request();
