Hold what fills beside a task that stays near its target

Change: a serving task is pressed from the first figure with a slack under 1.15 until one over 1.25; after 1.5 s everything that fills beside it is held, and nothing is placed there.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PaceControl.java
@@ -32,6 +32,12 @@
     /** A serving task that misses its target for this long is believed, whatever its single figures are worth. */
     private static final Duration MISSED_TIME = Duration.ofMillis(250);
 
+    /**
+     * After this long everything that fills beside it is held until the serving task is clearly under its target: the
+     * platform allows no more than 4 s on end, and figures come up to 0.8 s apart and half a second late.
+     */
+    private static final Duration PRESSED_TIME = Duration.ofMillis(1_500);
+
     /** Speeds up at most this often, so that the figures can follow. */
     private static final Duration RAISE_INTERVAL = Duration.ofMillis(700);
 
@@ -52,11 +58,13 @@
         List<Run> fills = new ArrayList<>();
         Map<Run, Double> slacks = new HashMap<>();
         boolean missed = false;
+        boolean pressed = false;
         for (Run run : worker.runs()) {
             if (run.task().step().spec().fills() && run.phase() == RunPhase.RUNNING) {
                 fills.add(run);
             } else if (Interference.slack(run) > 0) {
                 missed |= run.missedFor(MISSED_TIME, now);
+                pressed |= run.pressedFor(PRESSED_TIME, now);
                 slacks.put(run, interference.alone(run, now));
             }
         }
@@ -70,7 +78,7 @@
             if (misplaced(fill, slacks.keySet())) {
                 displace(fill);
             } else {
-                set(fill, suspects.contains(fill) ? 0 : levels.get(fill), now);
+                set(fill, pressed || suspects.contains(fill) ? 0 : levels.get(fill), now);
             }
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -6,6 +6,12 @@
 /** One start of a task on a worker; its room is reserved until its end is certain. */
 final class Run {
 
+    /** Figures are rough: with less slack than this a serving task may be over its target. */
+    private static final double MAYBE_OVER = 1.15;
+
+    /** With this much slack a serving task is under its target although figures are rough. */
+    private static final double CLEARLY_UNDER = 1.25;
+
     private final Task task;
 
     private final WorkerState worker;
@@ -36,6 +42,9 @@
     /** Since when all figures of a serving task miss its target; null if the last one does not. */
     private Instant missedSince;
 
+    /** Since when a serving task may be over its target, as far as rough figures tell; null if it is clearly under it. */
+    private Instant pressedSince;
+
     /** The share at which it works; negative if the worker did not confirm the last order. */
     private int pacedTo = 100;
 
@@ -147,12 +156,8 @@
         }
         percent = newPercent;
         figure = newFigure;
-        boolean missed =
-                task.step().spec().serving() && figure > task.step().spec().targetMillis();
-        if (!missed) {
-            missedSince = null;
-        } else if (missedSince == null) {
-            missedSince = now;
+        if (task.step().spec().serving() && figure > 0) {
+            observeSlack(task.step().spec().targetMillis() / figure, now);
         }
     }
 
@@ -161,6 +166,24 @@
         return missedSince != null && !now.isBefore(missedSince.plus(time));
     }
 
+    /** Tells whether a serving task may have been over its target for a time without a break. */
+    boolean pressedFor(Duration time, Instant now) {
+        return pressedSince != null && !now.isBefore(pressedSince.plus(time));
+    }
+
+    private void observeSlack(double slack, Instant now) {
+        if (slack >= 1) {
+            missedSince = null;
+        } else if (missedSince == null) {
+            missedSince = now;
+        }
+        if (slack >= CLEARLY_UNDER) {
+            pressedSince = null;
+        } else if (slack < MAYBE_OVER && pressedSince == null) {
+            pressedSince = now;
+        }
+    }
+
     int pacedTo() {
         return pacedTo;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ServingSlack.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ServingSlack.java
@@ -12,6 +12,9 @@
     /** Slack that a task takes off without a difference that matters; keeping it away would gain nothing. */
     static final double HARMLESS = 0.08;
 
+    /** Nothing more is placed beside a task that may be over its target, as far as rough figures tell. */
+    private static final double LEAST_SLACK = 1.25;
+
     /** The cost with which a pair that is not known is tried. */
     private static final double TRIAL_COST = 1;
 
@@ -25,6 +28,6 @@
             cost = Math.min(cost, TRIAL_COST);
         }
         double left = slack - share * cost;
-        return share * cost <= HARMLESS && left >= 1 ? Double.MAX_VALUE : left;
+        return share * cost <= HARMLESS && left >= LEAST_SLACK ? Double.MAX_VALUE : left;
     }
 }
