Mix serving images only where they are mixed already

Change: a serving task without room beside its image goes to a worker where images are mixed already rather than to one where another image serves alone; a tenth of the workers instead of a fifth is kept free of serving tasks.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Placement.java
@@ -27,7 +27,7 @@
     private static final double SAME_IMAGE = 1e6;
 
     /** The share of the workers that is kept free of serving tasks as long as others have room: for wide and heavy tasks. */
-    private static final double KEPT_FREE = 0.2;
+    private static final double KEPT_FREE = 0.1;
 
     /** Slack beyond what serving tasks keep, since their own load rises while a task runs beside them. */
     private static final double SLACK_RESERVE = 0.25;
@@ -82,7 +82,7 @@
             score = view.unusedCpu() - (view.serves() ? LAST_RESORT / 100 / (1 + slack) : 0);
         }
         if (spec.serving()) {
-            score += SAME_IMAGE * view.sameImageShare(spec.imageName());
+            score += SAME_IMAGE * view.fitBeside(spec.imageName());
             score -= servingFreeScarce && !view.serves() ? 2 * SAME_IMAGE : 0;
         }
         return score - penalty(step, worker);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerView.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerView.java
@@ -1,7 +1,9 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.model.Resources;
 
@@ -65,14 +67,24 @@
         return servingTasks > 0;
     }
 
-    /** Returns the share of the serving tasks that have an image, less the share of those that have another. */
-    double sameImageShare(String image) {
+    /**
+     * Rates how well a serving image fits beside those that serve there, from -1 to 1: best beside its own image only,
+     * and worst on a worker where another image serves alone, since both would lose what can fill beside each.
+     */
+    double fitBeside(String image) {
         int same = 0;
+        Set<String> images = new HashSet<>();
         for (Run run : worker.runs()) {
             StepSpec beside = run.task().step().spec();
-            same += beside.serving() && beside.imageName().equals(image) ? 1 : 0;
+            if (beside.serving()) {
+                images.add(beside.imageName());
+                same += beside.imageName().equals(image) ? 1 : 0;
+            }
         }
-        return servingTasks == 0 ? 0 : 2.0 * same / servingTasks - 1;
+        if (servingTasks == 0) {
+            return 0;
+        }
+        return same > 0 ? (double) same / servingTasks : -1.0 / images.size();
     }
 
     /** Predicts the least slack of the serving tasks, with one more task beside them. */
