Count a filling task no more once it has ended

Cause: an order on pace that stays unanswered until its task has ended noted a change of that task, so that figures were compared with work that was over. Found by reading. Change: FillHistory notes changes of present tasks only; FillHistoryTest fails without it (share 0.04 instead of 0). Result: by test only.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FillHistory.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FillHistory.java
@@ -35,16 +35,16 @@
         present.add(run);
     }
 
-    /** Notes that a run ended or changes its pace; called before the change. */
+    /** Notes that a run changes its pace, before it does; one that has ended shows no more. */
     void changes(Run run, Instant now) {
-        Instant from = run.paceSince();
-        past.add(new Span(run.task().step().spec(), run.pacedTo(), from, now));
+        if (present.contains(run)) {
+            past.add(new Span(run.task().step().spec(), run.pacedTo(), run.paceSince(), now));
+        }
     }
 
     void ended(Run run, Instant now) {
-        if (present.remove(run)) {
-            changes(run, now);
-        }
+        changes(run, now);
+        present.remove(run);
     }
 
     /** Returns the mean share of the worker that each image took during the time that the newest figures cover. */
