Report a failure during the rehearsal

Cause: the rehearsal that the build runs ignored the host's report of a failure. Conclusion: nothing that runs on a host changes.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/Rehearsal.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/Rehearsal.java
@@ -54,7 +54,7 @@
                 new Telemetry(Telemetry.NO_PORT, () -> 0),
                 new SystemTimeSourceClock(),
                 Clock.systemUTC(),
-                cause -> {});
+                cause -> System.err.println("event=rehearsal_failed cause=\"" + cause + "\""));
         host.start();
         try (OperatorClient client = new OperatorClient(host.callerAddress())) {
             HttpOutcome outcome = client.send("GET", "/q/0123456789abcdef", "");
