Make sums and choices independent of object identity

Cause: runs have no hash code, so the order of hash collections of runs depended on identity hashes; sums of shares differed in their last bits, and with them estimates and placements. Ruled out: throttle levels, which use only minima and maxima, but log in that order. Change: insertion-ordered collections of runs, images and models. Result: BestEffortHistoryTest.sumOfSharesDoesNotDependOnTheIdentityOfTheRuns fails before (several sums) and passes now.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/BestEffortHistory.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/BestEffortHistory.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -29,7 +30,8 @@
 
     private final Deque<SpeedInterval> pastIntervals = new ArrayDeque<>();
 
-    private final Set<Run> currentRuns = new HashSet<>();
+    /** In order of their starts, so that sums of shares do not depend on identity. */
+    private final Set<Run> currentRuns = new LinkedHashSet<>();
 
     void recordStart(Run run) {
         currentRuns.add(run);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,7 +64,7 @@
     /** Speed of a best-effort task that is not throttled, and progress of a long-running task that is at work. */
     private static final int FULL_PERCENT = 100;
 
-    private final Map<String, InterferenceModel> models = new HashMap<>();
+    private final Map<String, InterferenceModel> models = new LinkedHashMap<>();
 
     /** Updates the estimates with a worker's newest measurements. */
     void update(WorkerState worker, Instant now) {
@@ -124,7 +123,7 @@
 
     private static Map<Step, Double> meanHeadrooms(WorkerState worker) {
         Map<Step, Double> sums = new LinkedHashMap<>();
-        Map<Step, Integer> counts = new HashMap<>();
+        Map<Step, Integer> counts = new LinkedHashMap<>();
         for (Run latencyCritical : worker.runs()) {
             double headroom = measuredHeadroom(latencyCritical);
             if (headroom > 0) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
@@ -1,7 +1,7 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -34,7 +34,7 @@
      */
     private static final double SATURATED_HEADROOM = 0.4;
 
-    private final Map<String, Integer> indexByImage = new HashMap<>();
+    private final Map<String, Integer> indexByImage = new LinkedHashMap<>();
 
     private final List<Double> means = new ArrayList<>();
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,7 +64,7 @@
     /** Sets the speeds of the best-effort tasks on a worker from its newest measurements. */
     void adjustThrottling(WorkerState worker, Instant now) {
         List<Run> bestEffortRuns = new ArrayList<>();
-        Map<Run, Double> headrooms = new HashMap<>();
+        Map<Run, Double> headrooms = new LinkedHashMap<>();
         boolean targetMissed = false;
         boolean pauseAll = false;
         for (Run run : worker.runs()) {
@@ -97,7 +97,7 @@
      */
     private Set<Run> selectRunsToPause(
             List<Run> bestEffortRuns, Set<Run> latencyCriticalRuns, Map<Run, Integer> levels) {
-        Set<Run> unknownCostRuns = new HashSet<>();
+        Set<Run> unknownCostRuns = new LinkedHashSet<>();
         for (Run bestEffort : bestEffortRuns) {
             StepSpec spec = bestEffort.task().step().spec();
             if (latencyCriticalRuns.stream()
@@ -109,7 +109,7 @@
         if (!unknownCostRuns.isEmpty() || anyThrottled) {
             return unknownCostRuns;
         }
-        return Set.copyOf(bestEffortRuns);
+        return new LinkedHashSet<>(bestEffortRuns);
     }
 
     /**
@@ -117,8 +117,8 @@
      * interfere most are throttled first.
      */
     private Map<Run, Integer> computeLevels(List<Run> bestEffortRuns, Map<Run, Double> headrooms) {
-        Map<Run, Double> remaining = new HashMap<>(headrooms);
-        Map<Run, Integer> levels = new HashMap<>();
+        Map<Run, Double> remaining = new LinkedHashMap<>(headrooms);
+        Map<Run, Integer> levels = new LinkedHashMap<>();
         for (Run bestEffort : bestEffortRuns) {
             int level = highestLevel(bestEffort, remaining);
             levels.put(bestEffort, level);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/BestEffortHistoryTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/BestEffortHistoryTest.java
@@ -5,6 +5,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -55,6 +58,22 @@
         assertThat(worker.bestEffortImagesChangedSince(after(2_100))).isEmpty();
     }
 
+    /** Runs have no hash code of their own, so each repetition would iterate over a hash set of them in another order. */
+    @Test
+    void sumOfSharesDoesNotDependOnTheIdentityOfTheRuns() {
+        Set<Double> sums = new HashSet<>();
+        for (int repetition = 0; repetition < 200; repetition++) {
+            WorkerState shared = OwnerFixtures.worker("w", WORKER_MILLICORES);
+            for (long milliCores : List.of(1_111L, 777L, 3_333L, 123L, 59L, 1_457L)) {
+                Job job = OwnerFixtures.job(
+                        "j" + milliCores, OwnerFixtures.bestEffortStep("i", 1, milliCores, 1_000), START);
+                shared.add(OwnerFixtures.task(job).place(shared, START));
+            }
+            sums.add(shared.bestEffortShares(after(311)).get("i"));
+        }
+        assertThat(sums).hasSize(1);
+    }
+
     @Test
     void lateAnswerToAThrottleOrderDoesNotRestoreTheShareOfAnEndedTask() {
         Run run = startRun();
