Keep connections to slow peers and open new ones while a long poll runs

Cause: one request that a slow owner did not answer in time closed the connection, so all other requests on it failed and were sent again; a store call for which no connection could be opened waited for a long poll of up to 3.2 s to end. Change: a connection is closed only if it has brought no answer since the request was sent; a failed connection attempt fails the oldest waiting request, and waiting requests open connections up to the limit. The recursion for expired requests is a loop. Conclusion: removes an amplifier of overload; the overload itself comes from weak owners.

--- a/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -20,7 +21,7 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Keeps canReuse connections to one address and queues requests until one is free. Not thread-safe: used only in the
+ * Keeps reusable connections to one address and queues requests until one is free. Not thread-safe: used only in the
  * client's I/O thread.
  */
 final class ConnectionPool {
@@ -55,19 +56,12 @@
     }
 
     void send(HttpRequest order, int maxConnections, Consumer<HttpOutcome> handler) {
-        ClientConnection connection = takeIdle();
-        if (connection != null) {
-            startExchange(connection, new PendingRequest(order, handler));
-            return;
-        }
         if (pendingRequests.size() >= MAX_PENDING_REQUESTS) {
             handler.accept(notSent("too many requests wait for a connection"));
             return;
         }
-        pendingRequests.add(new PendingRequest(order, handler));
-        if (busyConnections.size() + connectAttempts < maxConnections) {
-            connect();
-        }
+        pendingRequests.add(new PendingRequest(order, maxConnections, handler));
+        sendPendingRequests();
     }
 
     void closeIdle() {
@@ -78,7 +72,7 @@
 
     void close() {
         closeIdle();
-        busyConnections.forEach(IoUtils::safeClose);
+        List.copyOf(busyConnections).forEach(IoUtils::safeClose);
     }
 
     private ClientConnection takeIdle() {
@@ -103,12 +97,6 @@
     }
 
     private void startExchange(ClientConnection connection, PendingRequest request) {
-        if (!clock.now().isBefore(request.order().notAfter())) {
-            idleConnections.add(connection);
-            request.handler().accept(notSent("the time to send it has passed"));
-            sendPendingRequests();
-            return;
-        }
         busyConnections.add(connection);
         new HttpExchange(
                         address,
@@ -133,17 +121,24 @@
 
     private void sendPendingRequests() {
         while (!pendingRequests.isEmpty()) {
+            if (!clock.now().isBefore(pendingRequests.peek().order().notAfter())) {
+                pendingRequests.poll().handler().accept(notSent("the time to send it has passed"));
+                continue;
+            }
             ClientConnection connection = takeIdle();
             if (connection == null) {
-                connectIfNoConnection();
+                connectIfPermitted();
                 return;
             }
             startExchange(connection, pendingRequests.poll());
         }
     }
 
-    private void connectIfNoConnection() {
-        if (busyConnections.isEmpty() && connectAttempts == 0) {
+    /** Opens a connection for the requests that wait, unless as many attempts are under way or the limit is reached. */
+    private void connectIfPermitted() {
+        boolean belowLimit = busyConnections.size() + connectAttempts
+                < pendingRequests.peek().maxConnections();
+        if (belowLimit && connectAttempts < pendingRequests.size()) {
             connect();
         }
     }
@@ -158,7 +153,7 @@
         return new HttpOutcome.NotSent(new Failure(CONNECT_STEP, address.toString(), detail));
     }
 
-    private record PendingRequest(HttpRequest order, Consumer<HttpOutcome> handler) {}
+    private record PendingRequest(HttpRequest order, int maxConnections, Consumer<HttpOutcome> handler) {}
 
     private final class ConnectAttempt implements ClientCallback<ClientConnection> {
 
@@ -193,6 +188,9 @@
             end();
             if (busyConnections.isEmpty() && connectAttempts == 0) {
                 failPendingRequests(error.getMessage());
+            } else if (!pendingRequests.isEmpty()) {
+                // A busy connection may be a long poll, so the request must not wait for it.
+                pendingRequests.poll().handler().accept(notSent(error.getMessage()));
             }
         }
 
--- a/transport/src/main/java/org/flamingopitch/transport/peer/RequestClient.java
+++ b/transport/src/main/java/org/flamingopitch/transport/peer/RequestClient.java
@@ -44,6 +44,9 @@
 
     private long lastRequestId;
 
+    /** The number of answers received so far, on any connection. */
+    private long answersReceived;
+
     RequestClient(EventLoopGroup group, HostPort address) {
         this.group = group;
         this.address = address;
@@ -52,7 +55,7 @@
     /** Sends a request, or queues it until the connection is up. */
     void send(byte[] body, Duration timeout, Consumer<RequestOutcome> handler) {
         lastRequestId++;
-        PendingRequest request = new PendingRequest(lastRequestId, body, handler);
+        PendingRequest request = new PendingRequest(lastRequestId, body, answersReceived, handler);
         group.schedule(() -> onTimeout(request), timeout.toMillis(), TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(request);
@@ -114,7 +117,16 @@
         }
         if (awaitingAnswer.remove(request.id()) != null) {
             request.handler().accept(new RequestOutcome.Lost("no answer in time"));
-            // The connection may be dead without having been closed; the next request opens a new one.
+            closeIfSilentSince(request);
+        }
+    }
+
+    /**
+     * Closes the connection if it has brought no answer since a request was sent: it may be dead without having been
+     * closed. A connection to a slow peer stays open, because closing it would fail the requests that the peer works on.
+     */
+    private void closeIfSilentSince(PendingRequest request) {
+        if (request.answersReceivedBefore() == answersReceived) {
             close();
         }
     }
@@ -129,12 +141,13 @@
         unanswered.forEach(each -> each.handler().accept(new RequestOutcome.Lost("connection closed")));
     }
 
-    private record PendingRequest(long id, byte[] body, Consumer<RequestOutcome> handler) {}
+    private record PendingRequest(long id, byte[] body, long answersReceivedBefore, Consumer<RequestOutcome> handler) {}
 
     private final class AnswerHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            answersReceived++;
             PendingRequest request = awaitingAnswer.remove(frame.readLong());
             if (request != null) {
                 request.handler().accept(new RequestOutcome.Answered(ByteBufUtil.getBytes(frame)));
--- /dev/null
+++ b/transport/src/test/java/org/flamingopitch/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the connections between processes of the system, over loopback. */
+package org.flamingopitch.transport.peer;
