Withhold a lease 4 s after a stop, not after the placement

Cause: a worker that left three stops of an old run unanswered, within about 3 s, got no more extensions of its lease, because the 4 s counted from the placement of the run; the expiry would have ended all its other runs. Change: the time counts from the moment at which the run is stopped; a run knows since when it is in its phase.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -32,6 +32,8 @@
 
     private RunPhase phase;
 
+    private Instant phaseSince;
+
     private boolean recorded;
 
     /**
@@ -82,6 +84,7 @@
         this.number = number;
         this.placedAt = placedAt;
         this.phase = RunPhase.PLANNED;
+        this.phaseSince = placedAt;
         this.retryAt = placedAt;
         this.progressAt = placedAt;
     }
@@ -112,9 +115,15 @@
         return phase;
     }
 
+    /** Returns when the run entered its present phase. */
+    Instant phaseSince() {
+        return phaseSince;
+    }
+
     /** Enters a phase; its first order is due at once. */
-    void enterPhase(RunPhase next) {
+    void enterPhase(RunPhase next, Instant now) {
         phase = next;
+        phaseSince = now;
         unansweredOrders = 0;
         retryAt = Instant.MIN;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -374,7 +374,7 @@
         Run run = task.restoreRun(worker, report.run(), context.now());
         task.restoreLastRunNumber(report.run());
         worker.add(run);
-        run.enterPhase(RunPhase.RUNNING);
+        run.enterPhase(RunPhase.RUNNING, context.now());
         LOGGER.atInfo().log(
                 "event=adopted task=%s run=%d worker=%s wanted=%s",
                 report.task(), report.run(), worker.id(), adoptable);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -83,7 +83,7 @@
      */
     Run restoreRun(WorkerState worker, int number, Instant now) {
         run = new Run(this, worker, number, now);
-        run.enterPhase(RunPhase.SENT);
+        run.enterPhase(RunPhase.SENT, now);
         run.setOrderOutcomeKnown(Instant.MIN);
         return run;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -39,7 +39,7 @@
 
     /** Sends the start of a planned run. */
     void start(Run run) {
-        run.enterPhase(RunPhase.SENT);
+        run.enterPhase(RunPhase.SENT, context.now());
         sendStart(run);
     }
 
@@ -48,7 +48,7 @@
         if (run.phase() == RunPhase.STOPPING || run.phase() == RunPhase.PLANNED) {
             return;
         }
-        run.enterPhase(RunPhase.STOPPING);
+        run.enterPhase(RunPhase.STOPPING, context.now());
         run.setOrderOutcomeUnknown();
         sendStop(run);
     }
@@ -129,7 +129,7 @@
         if (answer instanceof WorkerAnswer.Done || isRejectedAsOldRun(answer)) {
             run.setOrderOutcomeKnown(context.now());
             if (answer instanceof WorkerAnswer.Done && run.phase() == RunPhase.SENT) {
-                run.enterPhase(RunPhase.RUNNING);
+                run.enterPhase(RunPhase.RUNNING, context.now());
             }
             listener.onOrderOutcomeKnown(run);
             return;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -215,7 +215,7 @@
         run.observe(running.percent(), running.measurement(), now);
         run.task().updateCheckpoint(running.checkpoint());
         if (run.phase() == RunPhase.SENT) {
-            run.enterPhase(RunPhase.RUNNING);
+            run.enterPhase(RunPhase.RUNNING, now);
             run.setOrderOutcomeKnown(now);
             listener.onOrderOutcomeKnown(run);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -34,10 +34,10 @@
     private static final Duration REMOVAL_DELAY = Duration.ofSeconds(15);
 
     /**
-     * Minimum age of a run for which the lease of its worker is no longer extended while stop orders stay unanswered;
-     * the expiry of the lease then ends the run.
+     * How long a worker may leave the stop of a run unanswered before its lease is no longer extended; the expiry of the
+     * lease then ends the run, and all others on the worker.
      */
-    private static final Duration LEASE_WITHHOLDING_RUN_AGE = Duration.ofSeconds(4);
+    private static final Duration MAX_UNCONFIRMED_STOP = Duration.ofSeconds(4);
 
     private final CellContext context;
 
@@ -137,12 +137,11 @@
         }
     }
 
-    private static boolean hasUnconfirmedStop(WorkerState worker, Instant now) {
+    /** Returns whether the stop of a run has been unanswered for so long that its worker's lease must expire. */
+    static boolean hasUnconfirmedStop(WorkerState worker, Instant now) {
         for (Run run : worker.runs()) {
             boolean unconfirmed = run.phase() == RunPhase.STOPPING && run.orderOutcomeKnownAt() == null;
-            if (unconfirmed
-                    && now.isAfter(run.placedAt().plus(LEASE_WITHHOLDING_RUN_AGE))
-                    && run.unansweredOrders() > 2) {
+            if (unconfirmed && now.isAfter(run.phaseSince().plus(MAX_UNCONFIRMED_STOP)) && run.unansweredOrders() > 2) {
                 return true;
             }
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -81,7 +81,7 @@
     static Run run(Task task, WorkerState worker, double measurement) {
         Run run = task.place(worker, NOW.minusSeconds(30));
         worker.add(run);
-        run.enterPhase(RunPhase.RUNNING);
+        run.enterPhase(RunPhase.RUNNING, NOW);
         run.setOrderOutcomeKnown(NOW);
         run.observe(100, measurement, NOW);
         return run;
