Admit jobs after a takeover at the rate of the running tasks

Cause: a new owner divided the work completed since its election by the whole window of 6 s, so it saw a fraction of the capacity and rejected jobs for seconds after each takeover. Change: for the part of the window before the election it assumes the work of the tasks that run.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
@@ -3,10 +3,13 @@
 import java.time.Instant;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /** Computes the waiting jobs of a queue and the capacity of the workers that serve it. */
 final class CellLoad {
 
+    private static final int FULL_SPEED_PERCENT = 100;
+
     private final JobTable jobs;
 
     private final WorkerRegistry workerRegistry;
@@ -36,14 +39,28 @@
      */
     long capacity(QueueSpec queue, Instant now) {
         long idle = 0;
+        long running = 0;
         for (WorkerState worker : workerRegistry.workers()) {
             boolean servesQueue =
                     worker.registered() && worker.entry().service().equals(queue.service());
             if (servesQueue && workerRegistry.usable(worker, now)) {
                 idle += Math.max(0, worker.free().milliCores() - worker.bestEffortMilliCores());
+                running += runningMilliCores(worker);
             }
         }
-        return completionRate.workPerMillisecond(now) + idle;
+        return completionRate.workPerMillisecond(running, now) + idle;
+    }
+
+    /** Returns the processor time that the tasks on a worker use which are not long-running, in millicores. */
+    private static long runningMilliCores(WorkerState worker) {
+        long sum = 0;
+        for (Run run : worker.runs()) {
+            StepSpec spec = run.task().step().spec();
+            if (!spec.lasting() && run.phase() == RunPhase.RUNNING) {
+                sum += spec.demand().milliCores() * Math.max(0, run.throttledToPercent()) / FULL_SPEED_PERCENT;
+            }
+        }
+        return sum;
     }
 
     /** Returns the processor time of all workers of a queue's service that are not draining, in millicores. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CompletionRate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CompletionRate.java
@@ -15,20 +15,34 @@
 
     private final Deque<CompletedWork> completed = new ArrayDeque<>();
 
+    private final Instant startedAt;
+
     private long sum;
 
+    CompletionRate(Instant startedAt) {
+        this.startedAt = startedAt;
+    }
+
     /** Adds completed work, in millicores times milliseconds. */
     void add(long work, Instant now) {
         completed.add(new CompletedWork(now, work));
         sum += work;
     }
 
-    /** Returns the work completed each millisecond, in millicores. */
-    long workPerMillisecond(Instant now) {
+    /**
+     * Returns the work completed each millisecond, in millicores. For the part of the window before the measurement
+     * began, assumes the work of the tasks that run now: a new owner would otherwise reject most jobs for seconds.
+     *
+     * @param runningMilliCores the processor time that running tasks use
+     */
+    long workPerMillisecond(long runningMilliCores, Instant now) {
         while (!completed.isEmpty() && completed.peek().endedAt().plus(WINDOW).isBefore(now)) {
             sum -= completed.poll().work();
         }
-        return sum / WINDOW.toMillis();
+        long measuredMillis =
+                Math.min(WINDOW.toMillis(), Duration.between(startedAt, now).toMillis());
+        long assumedWork = runningMilliCores * (WINDOW.toMillis() - measuredMillis);
+        return (sum + assumedWork) / WINDOW.toMillis();
     }
 
     private record CompletedWork(Instant endedAt, long work) {}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -55,7 +55,7 @@
 
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
-    private final CompletionRate completionRate = new CompletionRate();
+    private final CompletionRate completionRate;
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
 
@@ -75,6 +75,7 @@
             JobTable jobs,
             Consumer<WorkerState> newerFencingTokenHandler) {
         this.context = context;
+        this.completionRate = new CompletionRate(context.now());
         this.timings = timings;
         this.jobs = jobs;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
