--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
@@ -9,6 +9,7 @@
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.transport.peer.RequestOutcome;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Encodes and decodes the job requests and answers that hosts exchange, in MessagePack. */
@@ -79,8 +80,12 @@
 
     private static <T> T read(ObjectReader reader, byte[] bytes) {
         try {
-            return reader.readValue(bytes);
-        } catch (IOException e) {
+            T message = reader.readValue(bytes);
+            if (message == null) {
+                throw new IllegalArgumentException("invalid MessagePack message: it is empty");
+            }
+            return message;
+        } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("invalid MessagePack message: " + e.getMessage(), e);
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
@@ -23,7 +23,7 @@
      */
     public JobSpec {
         payload = payload == null ? "" : payload;
-        steps = steps == null ? List.of() : steps;
+        steps = steps == null ? List.of() : List.copyOf(steps);
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/QueueSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/QueueSpec.java
@@ -1,5 +1,7 @@
 package org.flamingopitch.scheduler.cell.model;
 
+import java.util.Objects;
+
 /**
  * A queue in the configuration. A job of the queue should end within {@code stretch} times the estimated duration of
  * its critical path, plus {@code targetMillis}.
@@ -25,4 +27,13 @@
         double stretch,
         long targetMillis,
         long timeoutMillis,
-        boolean advised) {}
+        boolean advised) {
+
+    /** Rejects a queue without a name, route or service. */
+    public QueueSpec {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(prefix, "prefix");
+        Objects.requireNonNull(service, "service");
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/StepSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/StepSpec.java
@@ -49,7 +49,7 @@
      */
     public StepSpec {
         demand = demand == null ? Resources.NONE : demand;
-        after = after == null ? List.of() : after;
+        after = after == null ? List.of() : List.copyOf(after);
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/TaskRef.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/TaskRef.java
@@ -26,17 +26,21 @@
                     "\"" + text + "\" is not a task reference of the form job.occurrence.step.index");
         }
         try {
-            return new TaskRef(
-                    new JobId(parts[0]),
-                    Integer.parseInt(parts[1]),
-                    Integer.parseInt(parts[2]),
-                    Integer.parseInt(parts[3]));
+            return new TaskRef(new JobId(parts[0]), parseIndex(parts[1]), parseIndex(parts[2]), parseIndex(parts[3]));
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException(
                     "\"" + text + "\" is not a task reference of the form job.occurrence.step.index", e);
         }
     }
 
+    private static int parseIndex(String text) {
+        int index = Integer.parseInt(text);
+        if (index < 0) {
+            throw new NumberFormatException("negative index " + text);
+        }
+        return index;
+    }
+
     /**
      * Returns the text form of the step that the task belongs to.
      *
