Elect the strongest host, hand over to it, and end only when all requests are answered

(2) Found on the way: an owner learned from a rejected claim that vanished before the watch showed it stayed the owner for good; a process that stopped during its claim became owner for a tick; a deposed owner kept its lease. (4) SIGHUP ended the process by the default action of the runtime. Change: CampaignDelay ranks hosts by processor time and distance; a far stronger host asks a weak owner for the cell, which ends its ownership before it writes the successor's record; a restarted process replaces its predecessor's key; entries learned from any call reach the watcher. A stopping process ends when every request that it has read is answered. SIGHUP reads the settings again. An unexpected error costs the ownership instead of the process. A successor's refusal is final for submissions that only former owners received.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -86,6 +86,18 @@
         stopped = true;
     }
 
+    /**
+     * Takes an entry into account that another call has returned. Without it, a later list could not show that the key
+     * was deleted in the meantime.
+     *
+     * @param entry the entry, ignored if the watcher knows the same or a newer version of the key
+     */
+    public void observe(KeyValueEntry entry) {
+        if (entry.key().startsWith(prefix)) {
+            applyEntry(entry);
+        }
+    }
+
     /**
      * Returns whether all keys have been read at least once.
      *
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -114,7 +114,8 @@
         context.setLoop(loop);
         HostPort peerAddress = new HostPort(settings.ip(), settings.peerPort());
         peerTransport = new RequestTransport(peerAddress, this::handlePeerRequest);
-        node = new CellNode(context, this, new OwnerRecord(id, peerAddress.toString()), settings.timings());
+        OwnerRecord self = new OwnerRecord(id, peerAddress.toString(), settings.processors());
+        node = new CellNode(context, this, self, settings.timings());
         CallerHttpHandler callerHandler = new CallerHttpHandler(
                 settings.readiness().port(), () -> ready, () -> draining, this::handleCallerRequest);
         callerServer = new HttpServer(
@@ -176,6 +177,25 @@
         loop.publish(node::drain);
     }
 
+    /**
+     * Runs an action as soon as every request of a caller that was received is answered. No further request is received
+     * while the action runs.
+     *
+     * @param action the action
+     */
+    public void runWhenAllAnswered(Runnable action) {
+        callerServer.runWhenIdle(action);
+    }
+
+    /**
+     * Returns the number of callers' requests that are not answered yet.
+     *
+     * @return the number of requests
+     */
+    public int unansweredRequests() {
+        return callerServer.callsInProgress();
+    }
+
     @Override
     public void stop() {
         supervisor.stop();
@@ -231,13 +251,21 @@
 
     private void apply(Runnable event) {
         context.readClock();
-        event.run();
+        runGuarded(event);
+    }
+
+    private void runGuarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            node.handleUnexpectedError(e);
+        }
     }
 
     private void afterBatch() {
         context.readClock();
-        context.runTimers();
-        node.tick();
+        runGuarded(context::runTimers);
+        runGuarded(node::tick);
         ready = !draining && node.ready();
         metrics.updateGauges(node.ownsCell(), node.openJobs());
     }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
@@ -50,7 +50,7 @@
     static ExitCode run() throws InterruptedException {
         loadArchivedClasses();
         JsonCodec codec = JsonCodec.compact();
-        codec.decode(codec.encode(new OwnerRecord(new ProcessId("rehearsal"), "127.0.0.1:1")), OwnerRecord.class);
+        codec.decode(codec.encode(new OwnerRecord(new ProcessId("rehearsal"), "127.0.0.1:1", 1)), OwnerRecord.class);
         CellHost host = new CellHost(
                 trainingSettings(),
                 new Telemetry(Telemetry.NO_PORT, () -> 0),
@@ -78,6 +78,7 @@
                 ANY_PORT,
                 ANY_PORT.port(),
                 UNREACHABLE_STORE,
+                1,
                 timings,
                 oneSecond);
     }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -15,18 +15,22 @@
 import org.flamingopitch.daemon.log.BoundedLogHandler;
 import org.flamingopitch.daemon.log.KeyValueLogFormatter;
 import org.flamingopitch.platform.PlatformSettings;
+import sun.misc.Signal;
 
 /** Runs a host of the scheduler on the users' platform until SIGTERM or a failure. */
 final class FrontCommand implements Command {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /**
-     * Fraction of the platform's stop time for which open connections are still served; the rest is left for the end of
-     * the process.
-     */
+    /** Fraction of the platform's stop time for which requests are still served. */
     private static final double DRAIN_FRACTION = 0.8;
 
+    /** Fraction of the platform's stop time after which the process ends even if a request is unanswered. */
+    private static final double END_FRACTION = 0.93;
+
+    /** The signal that the settings file has changed; the runtime would end the process without a handler. */
+    private static final String RELOAD_SIGNAL = "HUP";
+
     private static final String SETTINGS_OPTION = "settings";
 
     private static final String METRICS_PORT_OPTION = "metrics-port";
@@ -35,7 +39,7 @@
 
     @Override
     public String summary() {
-        return "Runs a host on the users' platform; SIGTERM shuts it down gracefully.";
+        return "Runs a host on the users' platform; SIGTERM shuts it down gracefully, SIGHUP reads the settings again.";
     }
 
     @Override
@@ -82,7 +86,10 @@
         CellHost host = new CellHost(
                 settings, telemetry, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> failed.countDown());
         host.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(host, settings, logHandler), "shutdown"));
+        SettingsReloader reloader = new SettingsReloader(Path.of(path), settings);
+        Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reloader.reload());
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> shutDown(host, reloader.current(), logHandler), "shutdown"));
         LOGGER.atInfo().log("event=started process=%s callers=%s", host.id(), settings.callers());
         failed.await();
         logHandler.stop();
@@ -109,14 +116,22 @@
 
     private static void shutDown(CellHost host, PlatformSettings settings, BoundedLogHandler logHandler) {
         long drainMillis = (long) (settings.stopTime().toMillis() * DRAIN_FRACTION);
+        long endMillis = (long) (settings.stopTime().toMillis() * END_FRACTION);
         host.drain(Duration.ofMillis(drainMillis));
+        // Nothing counts this latch down: callers keep using their open connections until the process ends.
+        CountDownLatch ended = new CountDownLatch(1);
         try {
-            // Waits for the whole time: nothing counts this latch down.
-            new CountDownLatch(1).await(drainMillis, TimeUnit.MILLISECONDS);
+            ended.await(drainMillis, TimeUnit.MILLISECONDS);
+            host.runWhenAllAnswered(() -> end(host, logHandler));
+            ended.await(endMillis - drainMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOGGER.atInfo().log("event=stopped process=%s", host.id());
+        end(host, logHandler);
+    }
+
+    private static void end(CellHost host, BoundedLogHandler logHandler) {
+        LOGGER.atInfo().log("event=stopped process=%s unanswered=%d", host.id(), host.unansweredRequests());
         logHandler.stop();
         // The host stores no state, and an orderly stop of all threads may exceed the stop time.
         Runtime.getRuntime().halt(ExitCode.OK.code());
--- a/daemon/src/test/java/org/flamingopitch/daemon/process/ChildProcess.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/process/ChildProcess.java
@@ -26,6 +26,8 @@
 
     static ChildProcess start(Path logFile, String... arguments) {
         List<String> command = new ArrayList<>();
+        // The runtime takes no handler for a signal that its parent ignores, as under nohup.
+        command.addAll(List.of("env", "--default-signal=HUP"));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-XX:+UseSerialGC", "-Xmx64m", "-cp", System.getProperty("java.class.path")));
         command.add(Main.class.getName());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -41,8 +41,13 @@
 
     private final CallerRequestHandler requestHandler;
 
+    private final OwnershipRequester ownershipRequester;
+
     private CellOwner ownedCell;
 
+    /** The request of a process that this owner hands the cell over to when all changes are durable, or null. */
+    private JobRequest.RequestOwnership handover;
+
     private boolean draining;
 
     private Instant lastTickAt = Instant.MIN;
@@ -63,6 +68,7 @@
         this.self = self;
         this.timings = timings;
         this.election = new Election(context, self, this);
+        this.ownershipRequester = new OwnershipRequester(context, election, ownerClient, self);
         this.requestHandler = new CallerRequestHandler((request, timeout, handler) ->
                 new OwnerCall(context, this, ownerClient, request, timeout, handler).start());
     }
@@ -100,22 +106,58 @@
      * @param answer receives the answer exactly once
      */
     public void handlePeerRequest(JobRequest request, Consumer<JobAnswer> answer) {
-        if (!sendToLocalOwner(request, answer)) {
+        if (request instanceof JobRequest.RequestOwnership ownershipRequest) {
+            answer.accept(beginHandover(ownershipRequest) ? new JobAnswer.Accepted() : new JobAnswer.NotOwner());
+        } else if (!sendToLocalOwner(request, answer)) {
             answer.accept(new JobAnswer.NotOwner());
         }
     }
 
+    /** Begins to hand the cell over and returns true, or returns false if this process does not own a loaded cell. */
+    private boolean beginHandover(JobRequest.RequestOwnership request) {
+        if (ownedCell == null || draining || handover != null || !ownedCell.loaded()) {
+            return false;
+        }
+        handover = request;
+        LOGGER.atInfo().log("event=handover_started to=%s", request.candidate().process());
+        ownedCell.flush();
+        return true;
+    }
+
     /** Performs the work that is due; called after each batch of events, and periodically while the host is idle. */
     public void tick() {
         detectSuspension();
         if (ownedCell != null) {
             ownedCell.tick();
         }
-        if (draining && ownedCell != null && ownedCell.flushed()) {
+        if (ownedCell != null && ownedCell.flushed()) {
+            giveUpIfRequested();
+        }
+        if (!draining) {
+            ownershipRequester.tick();
+        }
+    }
+
+    private void giveUpIfRequested() {
+        if (draining) {
             election.retire();
+        } else if (handover != null) {
+            election.handOver(handover.candidate(), handover.leaseId());
         }
     }
 
+    /**
+     * Handles an exception that an event of the loop has thrown. An owner gives up the cell, because its state in
+     * memory may be inconsistent; the next owner, which may be this process, restores it from the store. All else that
+     * this process does goes on.
+     *
+     * @param error the exception
+     */
+    public void handleUnexpectedError(RuntimeException error) {
+        LOGGER.atSevere().withCause(error).log("event=unexpected_error owner=%s", ownedCell != null);
+        election.stepDown("unexpected error: " + error);
+    }
+
     /**
      * Ends this process's part in elections. If it owns the cell, it first stores its changes and then gives up the
      * ownership.
@@ -166,6 +208,11 @@
         return true;
     }
 
+    /** Returns the version of the owner's key as last read, which rises with each election. */
+    long ownerVersion() {
+        return election.ownerVersion();
+    }
+
     Optional<OwnerRecord> remoteOwner() {
         return election.owner().filter(owner -> !owner.process().equals(self.process()));
     }
@@ -186,6 +233,7 @@
     public void deposed(String cause) {
         CellOwner formerOwner = ownedCell;
         ownedCell = null;
+        handover = null;
         if (formerOwner != null) {
             formerOwner.close(cause);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
@@ -49,6 +49,12 @@
     /** Whether an earlier attempt may have taken effect without a final answer. */
     private boolean outcomeUnknown;
 
+    /** The newest election whose owner received an attempt of unknown outcome. */
+    private long unknownElection;
+
+    /** The election whose owner received the last attempt. */
+    private long attemptElection;
+
     /** Whether an attempt is waiting for its answer. */
     private boolean attemptPending;
 
@@ -89,6 +95,7 @@
             completeUnanswered();
             return;
         }
+        attemptElection = node.ownerVersion();
         if (node.ownsCell()) {
             attemptPending = true;
             node.sendToLocalOwner(request, this::handleAnswer);
@@ -127,7 +134,7 @@
             return;
         }
         if (outcome instanceof ForwardOutcome.Lost lost) {
-            outcomeUnknown = true;
+            markOutcomeUnknown();
             LOGGER.atWarning().log("event=forward_unanswered request=%s detail=\"%s\"", request, lost.detail());
         }
         retryLater();
@@ -136,7 +143,7 @@
     private void handleAnswer(JobAnswer answer) {
         attemptPending = false;
         if (answer instanceof JobAnswer.InDoubt) {
-            outcomeUnknown = true;
+            markOutcomeUnknown();
             retryLater();
             return;
         }
@@ -144,14 +151,26 @@
             retryLater();
             return;
         }
-        if (outcomeUnknown && answer instanceof JobAnswer.Refused) {
-            // The refusal is not final: the transaction of an earlier attempt may still store the submission.
+        if (answer instanceof JobAnswer.Refused && !isRefusalCertain()) {
             retryLater();
             return;
         }
         complete(answer);
     }
 
+    private void markOutcomeUnknown() {
+        outcomeUnknown = true;
+        unknownElection = Math.max(unknownElection, attemptElection);
+    }
+
+    /**
+     * Returns whether no earlier attempt can take effect any more. The owner that refuses may still receive or store an
+     * earlier attempt of its own, but not one of a former owner: commits require the key of the present owner.
+     */
+    private boolean isRefusalCertain() {
+        return !outcomeUnknown || attemptElection > unknownElection;
+    }
+
     private void completeUnanswered() {
         if (request instanceof JobRequest.AskPending || request instanceof JobRequest.Submit) {
             complete(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -62,24 +62,34 @@
 
     private void readJobs() {
         read(new KeyValueRequest.ListPrefix(CellKeys.JOB_PREFIX), this::readJobs, result -> {
-            jobs = new HashMap<>();
+            jobs = new LinkedHashMap<>();
             for (KeyValueEntry entry : entries(result)) {
-                JobId id = new JobId(entry.key().substring(CellKeys.JOB_PREFIX.length()));
-                jobs.put(id, JsonCodec.compact().decode(entry.value(), JobRecord.class));
+                decode(entry, CellKeys.JOB_PREFIX, JobRecord.class, jobs);
             }
         });
     }
 
     private void readProgress() {
         read(new KeyValueRequest.ListPrefix(CellKeys.PROGRESS_PREFIX), this::readProgress, result -> {
-            progress = new HashMap<>();
+            progress = new LinkedHashMap<>();
             for (KeyValueEntry entry : entries(result)) {
-                JobId id = new JobId(entry.key().substring(CellKeys.PROGRESS_PREFIX.length()));
-                progress.put(id, JsonCodec.compact().decode(entry.value(), ProgressRecord.class));
+                decode(entry, CellKeys.PROGRESS_PREFIX, ProgressRecord.class, progress);
             }
         });
     }
 
+    /** Adds the record in an entry; a record that cannot be read is left in the store and does not block the others. */
+    private static <T> void decode(KeyValueEntry entry, String prefix, Class<T> type, Map<JobId, T> records) {
+        try {
+            JobId id = new JobId(entry.key().substring(prefix.length()));
+            records.put(id, JsonCodec.compact().decode(entry.value(), type));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=record_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+        }
+    }
+
     private void readLearned() {
         read(new KeyValueRequest.Get(CellKeys.LEARNED), this::readLearned, result -> {
             learnedStatistics = LearnedRecord.EMPTY;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.coordination.api.LoopContext;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
@@ -30,12 +31,6 @@
     /** Bounds one watch call, so that a connection that no longer answers is detected. */
     private static final Duration MAX_WATCH_WAIT = Duration.ofMillis(2_500);
 
-    /** Delay before a campaign, in round trips to the store: hosts that reach the store faster campaign earlier. */
-    private static final int CAMPAIGN_DELAY_ROUND_TRIPS = 4;
-
-    /** Upper bound of the delay added per candidate, so that two candidates seldom write at the same time. */
-    private static final long CAMPAIGN_JITTER_MILLIS = 60;
-
     private final LoopContext context;
 
     private final OwnerRecord self;
@@ -44,6 +39,8 @@
 
     private final StoreWatcher watcher;
 
+    private final CampaignDelay campaignDelay;
+
     private Optional<OwnerRecord> owner = Optional.empty();
 
     /** Version of the owner's key as last read, whichever process wrote it. */
@@ -54,6 +51,9 @@
 
     private String leaseId;
 
+    /** A lease under which the present owner may write this process's record; null if no handover is under way. */
+    private String handoverLeaseId;
+
     private Instant confirmedAt = Instant.MIN;
 
     private Duration roundTrip = Duration.ofMillis(50);
@@ -75,6 +75,7 @@
         this.context = context;
         this.self = self;
         this.listener = listener;
+        this.campaignDelay = new CampaignDelay(self);
         this.watcher = new StoreWatcher(context, CellKeys.OWNER_PREFIX, MAX_WATCH_WAIT);
     }
 
@@ -82,17 +83,12 @@
     public void start() {
         watcher.addListener(this::applyOwnerEntry);
         watcher.start();
-        context.schedule(RETRY_DELAY, this::campaignIfVacant);
+        context.schedule(campaignDelay(), this::campaignIfVacant);
     }
 
     /** Gives up the ownership, revokes its lease and does not campaign again. */
     public void retire() {
         retired = true;
-        if (leaseId != null) {
-            context.callStore(
-                    new KeyValueRequest.RevokeLease(leaseId),
-                    result -> LOGGER.atInfo().log("event=lease_returned result=%s", result));
-        }
         stepDown("the process gave up the ownership");
     }
 
@@ -165,8 +161,8 @@
     }
 
     /**
-     * Ends the ownership because it was given up or another process owns the cell. Has no effect if this process is not
-     * the owner.
+     * Ends the ownership because it was given up or another process owns the cell, and revokes the lease, so that a
+     * successor need not wait until it expires. Has no effect if this process is not the owner.
      *
      * @param cause the reason, for the log
      */
@@ -179,7 +175,7 @@
             owner = Optional.empty();
         }
         ownedVersion = 0;
-        leaseId = null;
+        revokeLease();
         listener.deposed(cause);
         if (owner.isEmpty()) {
             context.schedule(RETRY_DELAY, this::readOwner);
@@ -190,7 +186,7 @@
     private void readOwner() {
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), result -> {
             if (result instanceof KeyValueResult.Found found) {
-                applyOwnerEntry(found.entry());
+                watcher.observe(found.entry());
             } else if (result instanceof KeyValueResult.Missing) {
                 campaignIfVacant();
             } else {
@@ -220,16 +216,33 @@
         if (owning() && entry.version() != ownedVersion) {
             stepDown("another process holds the owner's key");
         }
+        if (!owning() && handoverLeaseId != null && record.process().equals(self.process())) {
+            acceptHandover(entry.version());
+        }
         listener.ownerChanged();
+        if (isPredecessor(record)) {
+            campaignIfVacant();
+        }
+    }
+
+    /**
+     * Returns whether an owner is a former process of this host. It has ended, as this process uses its address, so its
+     * key can be replaced before its lease expires.
+     */
+    private boolean isPredecessor(OwnerRecord record) {
+        return record.address().equals(self.address()) && !record.process().equals(self.process());
+    }
+
+    private boolean vacant() {
+        return owner.isEmpty() || isPredecessor(owner.get());
     }
 
     private Duration campaignDelay() {
-        long jitter = Math.floorMod(self.process().value().hashCode() * 31L + ownerVersion, CAMPAIGN_JITTER_MILLIS);
-        return roundTrip.multipliedBy(CAMPAIGN_DELAY_ROUND_TRIPS).plusMillis(jitter);
+        return campaignDelay.of(roundTrip, ownerVersion);
     }
 
     private void campaignIfVacant() {
-        if (retired || campaignRunning || owning() || owner.isPresent() || !watcher.initialListReceived()) {
+        if (retired || campaignRunning || owning() || !vacant() || !watcher.initialListReceived()) {
             if (!retired && !watcher.initialListReceived()) {
                 context.schedule(RETRY_DELAY, this::campaignIfVacant);
             }
@@ -247,9 +260,14 @@
         }
         roundTrip = Duration.between(sentAt, context.now());
         leaseId = leased.leaseId();
+        if (retired || !vacant()) {
+            abandonCampaign(retired ? "the process is stopping" : "another process was elected");
+            return;
+        }
         Instant claimedAt = context.now();
+        long replacedVersion = owner.isPresent() ? ownerVersion : KeyValueRequest.ABSENT;
         KeyValueRequest claim = new KeyValueRequest.Transaction(
-                List.of(new KeyValueRequest.Condition(CellKeys.OWNER, KeyValueRequest.ABSENT)),
+                List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
                 List.of(new KeyValueRequest.Write(
                         CellKeys.OWNER, JsonCodec.compact().encode(self), leaseId)),
                 List.of());
@@ -264,7 +282,7 @@
         if (result instanceof KeyValueResult.ConditionFailed conflict) {
             campaignRunning = false;
             revokeLease();
-            conflict.actual().forEach(this::applyOwnerEntry);
+            conflict.actual().forEach(watcher::observe);
             return;
         }
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
@@ -278,7 +296,7 @@
                 becomeOwner(found.entry().version(), sentAt);
                 return;
             }
-            applyOwnerEntry(found.entry());
+            watcher.observe(found.entry());
         }
         revokeLease();
         retryCampaign("the store did not confirm the claim");
@@ -286,13 +304,17 @@
 
     private void revokeLease() {
         if (leaseId != null) {
-            context.callStore(
-                    new KeyValueRequest.RevokeLease(leaseId),
-                    result -> LOGGER.atFine().log("event=lease_returned result=%s", result));
+            revoke(leaseId);
             leaseId = null;
         }
     }
 
+    private void revoke(String id) {
+        context.callStore(
+                new KeyValueRequest.RevokeLease(id),
+                result -> LOGGER.atFine().log("event=lease_returned result=%s", result));
+    }
+
     private void retryCampaign(String detail) {
         campaignRunning = false;
         failedCampaigns++;
@@ -300,7 +322,17 @@
         context.schedule(RETRY_DELAY, this::campaignIfVacant);
     }
 
+    private void abandonCampaign(String detail) {
+        campaignRunning = false;
+        LOGGER.atInfo().log("event=campaign_abandoned detail=\"%s\"", detail);
+        revokeLease();
+    }
+
     private void becomeOwner(long version, Instant sentAt) {
+        if (retired) {
+            abandonCampaign("the process is stopping");
+            return;
+        }
         campaignRunning = false;
         failedCampaigns = 0;
         ownedVersion = version;
@@ -322,6 +354,62 @@
         });
     }
 
+    /**
+     * Grants a lease under which the present owner can write this process's record to the owner's key.
+     *
+     * @param handler receives the lease, or nothing if the store does not answer
+     */
+    public void prepareHandover(Consumer<Optional<String>> handler) {
+        context.callStore(new KeyValueRequest.GrantLease(LEASE_DURATION), result -> {
+            handoverLeaseId = result instanceof KeyValueResult.Leased leased ? leased.leaseId() : null;
+            handler.accept(Optional.ofNullable(handoverLeaseId));
+        });
+    }
+
+    /** Revokes the lease of {@link #prepareHandover} after the owner has declined. */
+    public void cancelHandover() {
+        if (handoverLeaseId != null && !handoverLeaseId.equals(leaseId)) {
+            revoke(handoverLeaseId);
+        }
+        handoverLeaseId = null;
+    }
+
+    /**
+     * Hands the cell over: ends the ownership of this process, then writes the record of the successor in place of its
+     * own. If the write fails, the key is vacant when the lease of this process has been revoked or has expired.
+     *
+     * @param successor the next owner
+     * @param successorLeaseId the lease under which its record is written
+     */
+    public void handOver(OwnerRecord successor, String successorLeaseId) {
+        if (!owning()) {
+            return;
+        }
+        long version = ownedVersion;
+        String ownLeaseId = leaseId;
+        leaseId = null;
+        stepDown("handed over to " + successor.process());
+        KeyValueRequest write = new KeyValueRequest.Transaction(
+                List.of(new KeyValueRequest.Condition(CellKeys.OWNER, version)),
+                List.of(new KeyValueRequest.Write(
+                        CellKeys.OWNER, JsonCodec.compact().encode(successor), successorLeaseId)),
+                List.of());
+        context.callStore(write, result -> {
+            LOGGER.atInfo().log("event=handed_over to=%s result=%s", successor.process(), result);
+            revoke(ownLeaseId);
+        });
+    }
+
+    /** Becomes the owner by the former owner's write; the renewal confirms that the lease has not ended since. */
+    private void acceptHandover(long version) {
+        leaseId = handoverLeaseId;
+        handoverLeaseId = null;
+        becomeOwner(version, Instant.MIN);
+        if (owning()) {
+            renew();
+        }
+    }
+
     private void renew() {
         long version = ownedVersion;
         Instant sentAt = context.now();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobAnswer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobAnswer.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.time.Duration;
+import java.util.Objects;
 import org.flamingopitch.scheduler.cell.model.JobState;
 
 /** The answer of the owner of the cell to a {@link JobRequest}. */
@@ -15,14 +16,36 @@
      * @param retryAfter how long to wait before the job is submitted again
      * @param reason the reason, for the caller
      */
-    record Refused(Duration retryAfter, String reason) implements JobAnswer {}
+    record Refused(Duration retryAfter, String reason) implements JobAnswer {
+
+        /**
+         * Rejects an answer that lacks a component.
+         *
+         * @param retryAfter how long to wait before the job is submitted again
+         * @param reason the reason, for the caller
+         */
+        public Refused {
+            Objects.requireNonNull(retryAfter, "retryAfter");
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
 
     /**
      * The job's state.
      *
      * @param state the state
      */
-    record State(JobState state) implements JobAnswer {}
+    record State(JobState state) implements JobAnswer {
+
+        /**
+         * Rejects an answer that lacks a component.
+         *
+         * @param state the state
+         */
+        public State {
+            Objects.requireNonNull(state, "state");
+        }
+    }
 
     /** The cancellation, or the end that the job had before, is durable. */
     record Cancelled() implements JobAnswer {}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRequest.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRequest.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.util.Objects;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueName;
@@ -15,26 +16,90 @@
      * @param queue the queue as configured on the host that received the request
      * @param spec what the caller submitted
      */
-    record Submit(JobId id, QueueSpec queue, JobSpec spec) implements JobRequest {}
+    record Submit(JobId id, QueueSpec queue, JobSpec spec) implements JobRequest {
+
+        /**
+         * Rejects a request that lacks a component.
+         *
+         * @param id the job
+         * @param queue the queue
+         * @param spec what the caller submitted
+         */
+        public Submit {
+            Objects.requireNonNull(id, "id");
+            Objects.requireNonNull(queue, "queue");
+            Objects.requireNonNull(spec, "spec");
+        }
+    }
 
     /**
      * Reads a job's state.
      *
      * @param id the job
      */
-    record AskState(JobId id) implements JobRequest {}
+    record AskState(JobId id) implements JobRequest {
+
+        /**
+         * Rejects a request that lacks a component.
+         *
+         * @param id the job
+         */
+        public AskState {
+            Objects.requireNonNull(id, "id");
+        }
+    }
 
     /**
      * Cancels a job.
      *
      * @param id the job
      */
-    record Cancel(JobId id) implements JobRequest {}
+    record Cancel(JobId id) implements JobRequest {
+
+        /**
+         * Rejects a request that lacks a component.
+         *
+         * @param id the job
+         */
+        public Cancel {
+            Objects.requireNonNull(id, "id");
+        }
+    }
 
     /**
      * Counts the jobs of a queue of which no task has been started.
      *
      * @param queue the queue
      */
-    record AskPending(QueueName queue) implements JobRequest {}
+    record AskPending(QueueName queue) implements JobRequest {
+
+        /**
+         * Rejects a request that lacks a component.
+         *
+         * @param queue the queue
+         */
+        public AskPending {
+            Objects.requireNonNull(queue, "queue");
+        }
+    }
+
+    /**
+     * Asks the owner to hand the cell over to a host with more processor time.
+     *
+     * @param candidate the process that would become the owner
+     * @param leaseId the lease of the candidate, under which the owner's key is to be written
+     */
+    record RequestOwnership(OwnerRecord candidate, String leaseId) implements JobRequest {
+
+        /**
+         * Rejects a request that lacks a component.
+         *
+         * @param candidate the process that would become the owner
+         * @param leaseId the lease of the candidate
+         */
+        public RequestOwnership {
+            Objects.requireNonNull(candidate, "candidate");
+            Objects.requireNonNull(leaseId, "leaseId");
+        }
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OwnerRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OwnerRecord.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.util.Objects;
 import org.flamingopitch.coordination.api.ProcessId;
 
 /**
@@ -7,5 +8,13 @@
  *
  * @param process the process that owns the cell
  * @param address the IP address and port at which other hosts reach the process
+ * @param processors the processor time that the process may use, in processors
  */
-public record OwnerRecord(ProcessId process, String address) {}
+public record OwnerRecord(ProcessId process, String address, double processors) {
+
+    /** Rejects a record without a process or an address. */
+    public OwnerRecord {
+        Objects.requireNonNull(process, "process");
+        Objects.requireNonNull(address, "address");
+    }
+}
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -7,7 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.api.ProcessId;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
@@ -46,6 +49,12 @@
 
     private static final Duration TICK = Duration.ofMillis(5);
 
+    /** How often the store looks for changes while a watch call waits. */
+    private static final Duration WATCH_CHECK_INTERVAL = Duration.ofMillis(15);
+
+    /** The longest time after which a call whose connection was reset is executed nevertheless. */
+    private static final int MAX_LATE_EXECUTION_MILLIS = 3_000;
+
     private static final Instant START_TIME = Instant.parse("2026-01-01T00:00:00Z");
 
     private final FakeStore store = new FakeStore();
@@ -56,8 +65,58 @@
 
     private final TimerQueue pendingCalls = new TimerQueue();
 
+    private final SplittableRandom random;
+
     private Instant now = START_TIME;
 
+    private int startedHosts;
+
+    private boolean storeConnectionsReset;
+
+    private int maxExtraLatencyMillis;
+
+    /** Creates a session in which every call takes the same time. */
+    public CellSession() {
+        this(0);
+    }
+
+    /**
+     * Creates a session.
+     *
+     * @param seed decides the fates of calls while connections are reset, and the latencies if they vary
+     */
+    public CellSession(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Sets whether the connections of all calls to the store are reset: a call fails at once, but may have been
+     * executed, or may be executed up to three seconds later.
+     *
+     * @param areReset whether connections are reset
+     */
+    public void setStoreConnectionsReset(boolean areReset) {
+        storeConnectionsReset = areReset;
+    }
+
+    /**
+     * Returns whether the connections of all calls to the store are reset.
+     *
+     * @return whether they are reset
+     */
+    public boolean storeConnectionsReset() {
+        return storeConnectionsReset;
+    }
+
+    /**
+     * Lets the latency of each call to the store vary.
+     *
+     * @param maxExtra the longest time that is added to the latency of a call
+     */
+    public void varyStoreLatency(Duration maxExtra) {
+        maxExtraLatencyMillis = (int) maxExtra.toMillis();
+    }
+
     /**
      * Adds a worker.
      *
@@ -77,7 +136,17 @@
      * @param name its name
      */
     public void addHost(String name) {
-        Host host = new Host(name);
+        addHost(name, 1);
+    }
+
+    /**
+     * Adds a host and starts it.
+     *
+     * @param name its name
+     * @param processors its processor time in processors
+     */
+    public void addHost(String name, double processors) {
+        Host host = new Host(name, processors);
         hosts.put(name, host);
         host.node.start();
         host.node.configure(configuration());
@@ -130,6 +199,7 @@
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
             now = now.plus(TICK);
+            store.advance(now);
             workers.values().forEach(worker -> worker.advance(clockMillis()));
             pendingCalls.runDue(now);
             for (Host host : List.copyOf(hosts.values())) {
@@ -216,6 +286,10 @@
         return new CellConfiguration(1, List.of(queue), 100_000);
     }
 
+    private static KeyValueResult connectionReset() {
+        return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
+    }
+
     private long clockMillis() {
         return Duration.between(START_TIME, now).toMillis();
     }
@@ -230,8 +304,9 @@
 
         private boolean killed;
 
-        private Host(String name) {
-            self = new OwnerRecord(new ProcessId(name), name);
+        private Host(String name, double processors) {
+            startedHosts++;
+            self = new OwnerRecord(new ProcessId(name + "." + startedHosts), name, processors);
             Duration second = Duration.ofSeconds(1);
             CellTimings timings = new CellTimings(
                     Duration.ofSeconds(6), Duration.ofSeconds(120), second.multipliedBy(3), second, second);
@@ -255,18 +330,45 @@
 
         @Override
         public void callStore(KeyValueRequest request, Consumer<KeyValueResult> handler) {
-            boolean isWatch = request instanceof KeyValueRequest.Watch;
-            Duration delay = isWatch ? CALL_LATENCY.multipliedBy(30) : CALL_LATENCY;
-            pendingCalls.add(now.plus(delay), () -> {
-                if (killed) {
-                    return;
+            Duration extra = Duration.ofMillis(maxExtraLatencyMillis == 0 ? 0 : random.nextInt(maxExtraLatencyMillis));
+            Duration latency = CALL_LATENCY.plus(extra);
+            if (storeConnectionsReset) {
+                resetConnection(request, latency, handler);
+                return;
+            }
+            pendingCalls.add(now.plus(latency), () -> {
+                if (!killed) {
+                    executeStoreCall(request, now, handler);
                 }
-                KeyValueResult result = store.apply(request);
-                Duration answerDelay = result instanceof KeyValueResult.Failed ? CALL_TIMEOUT : Duration.ZERO;
-                answer(answerDelay, () -> handler.accept(result));
             });
         }
 
+        private void executeStoreCall(KeyValueRequest request, Instant receivedAt, Consumer<KeyValueResult> handler) {
+            if (storeConnectionsReset) {
+                answer(Duration.ZERO, () -> handler.accept(connectionReset()));
+                return;
+            }
+            KeyValueResult result = store.apply(request);
+            boolean watchWaits = request instanceof KeyValueRequest.Watch watch
+                    && result instanceof KeyValueResult.Listed listed
+                    && listed.entries().isEmpty()
+                    && now.isBefore(receivedAt.plus(watch.maxWait()));
+            if (watchWaits) {
+                answer(WATCH_CHECK_INTERVAL, () -> executeStoreCall(request, receivedAt, handler));
+                return;
+            }
+            Duration answerDelay = result instanceof KeyValueResult.Failed ? CALL_TIMEOUT : Duration.ZERO;
+            answer(answerDelay, () -> handler.accept(result));
+        }
+
+        private void resetConnection(KeyValueRequest request, Duration latency, Consumer<KeyValueResult> handler) {
+            int executionDelay = random.nextInt(2 * MAX_LATE_EXECUTION_MILLIS);
+            if (request.changesStore() && executionDelay < MAX_LATE_EXECUTION_MILLIS) {
+                pendingCalls.add(now.plusMillis(executionDelay), () -> store.apply(request));
+            }
+            answer(latency, () -> handler.accept(connectionReset()));
+        }
+
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
@@ -292,11 +394,19 @@
                 answer(CALL_LATENCY, () -> handler.accept(new ForwardOutcome.NotSent("no such host")));
                 return;
             }
+            AtomicBoolean answered = new AtomicBoolean();
             pendingCalls.add(
                     now.plus(CALL_LATENCY),
-                    () -> target.node.handlePeerRequest(
-                            request,
-                            reply -> answer(CALL_LATENCY, () -> handler.accept(new ForwardOutcome.Answered(reply)))));
+                    () -> target.node.handlePeerRequest(request, reply -> {
+                        if (!target.killed && answered.compareAndSet(false, true)) {
+                            answer(CALL_LATENCY, () -> handler.accept(new ForwardOutcome.Answered(reply)));
+                        }
+                    }));
+            answer(timeout, () -> {
+                if (answered.compareAndSet(false, true)) {
+                    handler.accept(new ForwardOutcome.Lost("no answer in time"));
+                }
+            });
         }
 
         private void answer(Duration delay, Runnable action) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -115,6 +115,22 @@
         assertThat(replies.get(0)).isInstanceOf(CallerReply.InDoubt.class);
     }
 
+    @Test
+    void refusalOfASuccessorIsFinalForASubmissionThatItsPredecessorDidNotCommit() {
+        session.store().setUnavailable(true);
+        List<CallerReply> replies = submit(nonOwner(), JOB_PATH, CellSession.job(2, 3_000, true));
+        session.advance(Duration.ofMillis(20));
+        assertThat(replies).isEmpty();
+        session.killHost(owner());
+        session.worker("w2").setDraining(true);
+        session.store().setUnavailable(false);
+        session.store().endLeases();
+        session.advance(Duration.ofMillis(2_500));
+        assertThat(replies).hasSize(1).allMatch(reply -> reply instanceof CallerReply.Refused);
+        session.advance(Duration.ofSeconds(2));
+        assertThat(session.running(JOB_ID)).isEmpty();
+    }
+
     @Test
     void lostStoreAnswersNeitherLoseNorDuplicateTasks() {
         session.store().setAnswersLost(true);
@@ -242,6 +258,59 @@
                 .containsExactlyInAnyOrder(0, 1);
     }
 
+    @Test
+    void ownerGivesUpTheCellAfterAnUnexpectedErrorAndNoRunIsLostOrDoubled() {
+        submit("h1", JOB_PATH, CellSession.job(2, 1_000, true));
+        session.advance(Duration.ofMillis(500));
+        session.node(owner()).handleUnexpectedError(new IllegalStateException("injected"));
+        session.advance(Duration.ofSeconds(2));
+        assertThat(session.running(JOB_ID)).hasSize(2).doesNotHaveDuplicates();
+        List<CallerReply> accepted = submit("h1", "/q/" + OTHER_JOB_ID, CellSession.job(1, 1_000, false));
+        session.advance(Duration.ofSeconds(1));
+        assertThat(accepted).containsExactly(new CallerReply.Done());
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
+    }
+
+    @Test
+    void weakOwnerHandsTheCellOverToAStrongHostAndEveryTaskRunsOnce() {
+        submit("h1", JOB_PATH, CellSession.job(3, 1_000, true));
+        session.advance(Duration.ofMillis(500));
+        session.addHost("strong", 4);
+        session.advance(Duration.ofSeconds(4));
+        assertThat(session.node("strong").ownsCell()).isTrue();
+        assertThat(session.node("h1").ownsCell() || session.node("h2").ownsCell())
+                .isFalse();
+        assertThat(session.running(JOB_ID)).hasSize(3).doesNotHaveDuplicates();
+        assertThat(session.worker("w1").started().size()
+                        + session.worker("w2").started().size())
+                .isEqualTo(3);
+        List<CallerReply> accepted = submit("h1", "/q/" + OTHER_JOB_ID, CellSession.job(1, 1_000, false));
+        session.advance(Duration.ofSeconds(1));
+        assertThat(accepted).containsExactly(new CallerReply.Done());
+        session.advance(Duration.ofSeconds(8));
+        assertThat(session.running(JOB_ID)).hasSize(3).doesNotHaveDuplicates();
+    }
+
+    /** A worker that only leaves stops unanswered for a while must not lose its other work. */
+    @Test
+    void unansweredStopOfAnOldRunDoesNotEndTheOtherRunsOfItsWorker() {
+        submit("h1", JOB_PATH, CellSession.job(1, 3_000, true));
+        submit("h1", "/q/" + OTHER_JOB_ID, CellSession.job(2, 500, true));
+        session.advance(Duration.ofSeconds(20));
+        session.worker("w1").setStopsLost(true);
+        session.worker("w2").setStopsLost(true);
+        session.call("h2", new CallerOperation.Cancel(), JOB_PATH);
+        session.advance(Duration.ofMillis(7_500));
+        session.worker("w1").setStopsLost(false);
+        session.worker("w2").setStopsLost(false);
+        session.advance(Duration.ofSeconds(4));
+        assertThat(session.running(JOB_ID)).isEmpty();
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(2);
+        assertThat(session.worker("w1").started().size()
+                        + session.worker("w2").started().size())
+                .isEqualTo(3);
+    }
+
     @Test
     void gangJobIsRefusedAndNeverRuns() {
         StepSpec plain = CellSession.step(2, 1_000, false, List.of());
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -1,21 +1,37 @@
 package org.flamingopitch.scheduler.cell;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
 
-/** An in-memory key-value store with conditional transactions; leases end only when revoked or ended by the test. */
+/**
+ * An in-memory key-value store with conditional transactions and watches. Leases end when they are revoked or ended by
+ * the test, and by the clock if the test asks for it.
+ */
 public final class FakeStore {
 
     private final TreeMap<String, KeyValueEntry> entries = new TreeMap<>();
 
     private final TreeMap<String, String> leaseByKey = new TreeMap<>();
 
-    private final List<String> leases = new ArrayList<>();
+    private final Map<String, Duration> leases = new LinkedHashMap<>();
+
+    private final Map<String, Instant> leaseExpiries = new LinkedHashMap<>();
+
+    /** All changes, oldest first. */
+    private final List<KeyValueEntry> history = new ArrayList<>();
+
+    private Instant now = Instant.EPOCH;
+
+    private boolean leasesExpire;
 
     private long revision = 1;
 
@@ -41,9 +57,32 @@
         answersLost = areLost;
     }
 
+    /**
+     * Sets whether a lease ends when its holder does not renew it in time.
+     *
+     * @param doExpire whether leases expire
+     */
+    public void setLeasesExpire(boolean doExpire) {
+        leasesExpire = doExpire;
+    }
+
+    /**
+     * Sets the clock and ends the leases that have expired.
+     *
+     * @param time the present time
+     */
+    public void advance(Instant time) {
+        now = time;
+        if (leasesExpire) {
+            List.copyOf(leases.keySet()).stream()
+                    .filter(lease -> !now.isBefore(leaseExpiries.get(lease)))
+                    .forEach(this::endLease);
+        }
+    }
+
     /** Ends all leases and removes the keys under them, as if no holder had renewed its lease. */
     public void endLeases() {
-        List.copyOf(leases).forEach(this::endLease);
+        List.copyOf(leases.keySet()).forEach(this::endLease);
     }
 
     /**
@@ -83,18 +122,20 @@
             return new KeyValueResult.Listed(entriesWithPrefix(list.prefix()), revision, true);
         }
         if (request instanceof KeyValueRequest.Watch watch) {
-            // Returns all entries instead of the changes; a watcher accepts a complete list as the answer to a watch.
-            return new KeyValueResult.Listed(entriesWithPrefix(watch.prefix()), revision, true);
+            return new KeyValueResult.Listed(changes(watch.prefix(), watch.afterRevision()), revision, false);
         }
-        if (request instanceof KeyValueRequest.GrantLease) {
+        if (request instanceof KeyValueRequest.GrantLease grant) {
             revision++;
-            leases.add("lease" + revision);
+            leases.put("lease" + revision, grant.timeToLive());
+            renew("lease" + revision);
             return new KeyValueResult.Leased("lease" + revision);
         }
         if (request instanceof KeyValueRequest.RenewLease renew) {
-            return leases.contains(renew.leaseId())
-                    ? new KeyValueResult.Leased(renew.leaseId())
-                    : new KeyValueResult.LeaseEnded();
+            if (!leases.containsKey(renew.leaseId())) {
+                return new KeyValueResult.LeaseEnded();
+            }
+            renew(renew.leaseId());
+            return new KeyValueResult.Leased(renew.leaseId());
         }
         if (request instanceof KeyValueRequest.RevokeLease revoke) {
             endLease(revoke.leaseId());
@@ -104,6 +145,11 @@
     }
 
     private KeyValueResult transact(KeyValueRequest.Transaction transaction) {
+        for (KeyValueRequest.Write write : transaction.writes()) {
+            if (write.leaseId() != null && !leases.containsKey(write.leaseId())) {
+                return new KeyValueResult.LeaseEnded();
+            }
+        }
         List<KeyValueEntry> actual = new ArrayList<>();
         boolean allHold = true;
         for (KeyValueRequest.Condition condition : transaction.conditions()) {
@@ -118,26 +164,43 @@
         }
         revision++;
         for (KeyValueRequest.Write write : transaction.writes()) {
-            entries.put(write.key(), new KeyValueEntry(write.key(), write.value(), revision));
+            KeyValueEntry entry = new KeyValueEntry(write.key(), write.value(), revision);
+            entries.put(write.key(), entry);
+            history.add(entry);
+            leaseByKey.remove(write.key());
             if (write.leaseId() != null) {
                 leaseByKey.put(write.key(), write.leaseId());
             }
         }
-        transaction.deletions().forEach(entries::remove);
+        transaction.deletions().forEach(this::delete);
         return new KeyValueResult.Written(revision);
     }
 
+    private void renew(String lease) {
+        leaseExpiries.put(lease, now.plus(leases.get(lease)));
+    }
+
     private void endLease(String lease) {
-        if (leases.remove(lease)) {
-            revision++;
-            leaseByKey.entrySet().removeIf(keyAndLease -> {
-                boolean ended = keyAndLease.getValue().equals(lease);
-                if (ended) {
-                    entries.remove(keyAndLease.getKey());
-                }
-                return ended;
-            });
+        if (leases.remove(lease) == null) {
+            return;
         }
+        revision++;
+        List.copyOf(leaseByKey.entrySet()).stream()
+                .filter(keyAndLease -> keyAndLease.getValue().equals(lease))
+                .forEach(keyAndLease -> delete(keyAndLease.getKey()));
+    }
+
+    private void delete(String key) {
+        leaseByKey.remove(key);
+        if (entries.remove(key) != null) {
+            history.add(new KeyValueEntry(key, null, revision));
+        }
+    }
+
+    private List<KeyValueEntry> changes(String prefix, long afterRevision) {
+        return history.stream()
+                .filter(entry -> entry.version() > afterRevision && entry.key().startsWith(prefix))
+                .toList();
     }
 
     private List<KeyValueEntry> entriesWithPrefix(String prefix) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -45,6 +45,8 @@
 
     private boolean startsLost;
 
+    private boolean stopsLost;
+
     private boolean draining;
 
     /**
@@ -76,6 +78,15 @@
         startsLost = areLost;
     }
 
+    /**
+     * Sets whether stop orders are lost, without effect or answer.
+     *
+     * @param areLost whether stop orders are lost
+     */
+    public void setStopsLost(boolean areLost) {
+        stopsLost = areLost;
+    }
+
     /**
      * Sets whether the registration of this worker shows it as draining.
      *
@@ -174,7 +185,9 @@
      * @return the answer
      */
     public WorkerAnswer apply(WorkerOrder order, long clockMillis) {
-        if (unresponsive || startsLost && order instanceof WorkerOrder.Start) {
+        boolean lost =
+                startsLost && order instanceof WorkerOrder.Start || stopsLost && order instanceof WorkerOrder.Stop;
+        if (unresponsive || lost) {
             return new WorkerAnswer.Lost(new Failure("worker", name, "no answer in time"));
         }
         if (order.fence() < fencingToken) {
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpServer.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.flamingopitch.coordination.supervisor.Service;
@@ -27,6 +28,8 @@
 
     private final int ioThreads;
 
+    private final CallsInProgress callsInProgress = new CallsInProgress();
+
     private Undertow server;
 
     /**
@@ -76,7 +79,7 @@
                 .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
-                .setHandler(routes.handler())
+                .setHandler(countCalls(routes.handler()))
                 .build();
         try {
             server.start();
@@ -113,6 +116,36 @@
         return (int) server.getListenerInfo().get(0).getConnectorStatistics().getActiveConnections();
     }
 
+    /**
+     * Runs an action in an I/O thread as soon as every received request is answered. With one I/O thread, no further
+     * request is read while the action runs.
+     *
+     * @param action the action
+     */
+    public void runWhenIdle(Runnable action) {
+        server.getWorker().getIoThread().execute(() -> callsInProgress.runWhenIdle(action));
+    }
+
+    /**
+     * Returns the number of requests that are received and not answered yet.
+     *
+     * @return the number of requests
+     */
+    public int callsInProgress() {
+        return callsInProgress.count();
+    }
+
+    private HttpHandler countCalls(HttpHandler next) {
+        return exchange -> {
+            callsInProgress.begin();
+            exchange.addExchangeCompleteListener((completed, listener) -> {
+                callsInProgress.end();
+                listener.proceed();
+            });
+            next.handleRequest(exchange);
+        };
+    }
+
     private static String rootCauseMessage(Throwable error) {
         Throwable root = error;
         while (root.getCause() != null) {
