Let Netty log through the runtime's loggers

Ruled out: code of ours in the frame. Change: the transport sets Netty's logger factory itself, so nothing is searched for and Netty's messages reach our log. Conclusion: the cause in the platform stays open; this removes one place where it strikes.

--- a/transport/src/main/java/org/flamingopitch/transport/peer/RequestTransport.java
+++ b/transport/src/main/java/org/flamingopitch/transport/peer/RequestTransport.java
@@ -13,6 +13,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -27,6 +29,11 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    static {
+        // Without it, Netty searches the program's file for logging libraries while other threads are running.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     private final HostPort listenAddress;
 
     private final BiConsumer<byte[], Consumer<byte[]>> handler;
