Log the end of a process that is stopped by a signal

Change: SIGTERM and SIGINT end the wait of the main thread, which shuts the host down itself; the runtime halts as before. Result: processLogsItsEndAfterSigterm fails before (no such line) and passes now.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -4,8 +4,10 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -31,6 +33,8 @@
     /** The signal that the settings file has changed; the runtime would end the process without a handler. */
     private static final String RELOAD_SIGNAL = "HUP";
 
+    private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
+
     private static final String SETTINGS_OPTION = "settings";
 
     private static final String METRICS_PORT_OPTION = "metrics-port";
@@ -80,21 +84,27 @@
                     "--settings or the environment variable " + PlatformSettings.PATH_VARIABLE + " is required");
         }
         PlatformSettings settings = readSettings(path);
-        CountDownLatch failed = new CountDownLatch(1);
+        AtomicBoolean failed = new AtomicBoolean();
+        CountDownLatch ending = new CountDownLatch(1);
         BoundedLogHandler logHandler = KeyValueLogFormatter.installOnStandardOutput();
         Telemetry telemetry = new Telemetry(metricsPort(line), logHandler::droppedRecords);
-        CellHost host = new CellHost(
-                settings, telemetry, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> failed.countDown());
+        CellHost host = new CellHost(settings, telemetry, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> {
+            failed.set(true);
+            ending.countDown();
+        });
         host.start();
         SettingsReloader reloader = new SettingsReloader(Path.of(path), settings);
         Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reloader.reload());
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> shutDown(host, reloader.current(), logHandler), "shutdown"));
+        // A shutdown hook would run beside the runtime's own one, which closes the log.
+        STOP_SIGNALS.forEach(name -> Signal.handle(new Signal(name), signal -> ending.countDown()));
         LOGGER.atInfo().log("event=started process=%s callers=%s", host.id(), settings.callers());
-        failed.await();
-        logHandler.stop();
-        Runtime.getRuntime().halt(ExitCode.FAILED.code());
-        return ExitCode.FAILED;
+        ending.await();
+        if (failed.get()) {
+            logHandler.stop();
+            Runtime.getRuntime().halt(ExitCode.FAILED.code());
+        }
+        shutDown(host, reloader.current(), logHandler);
+        return ExitCode.OK;
     }
 
     private static PlatformSettings readSettings(String path) {
@@ -114,19 +124,16 @@
         }
     }
 
-    private static void shutDown(CellHost host, PlatformSettings settings, BoundedLogHandler logHandler) {
+    private static void shutDown(CellHost host, PlatformSettings settings, BoundedLogHandler logHandler)
+            throws InterruptedException {
         long drainMillis = (long) (settings.stopTime().toMillis() * DRAIN_FRACTION);
         long endMillis = (long) (settings.stopTime().toMillis() * END_FRACTION);
         host.drain(Duration.ofMillis(drainMillis));
         // Nothing counts this latch down: callers keep using their open connections until the process ends.
         CountDownLatch ended = new CountDownLatch(1);
-        try {
-            ended.await(drainMillis, TimeUnit.MILLISECONDS);
-            host.runWhenAllAnswered(() -> end(host, logHandler));
-            ended.await(endMillis - drainMillis, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        ended.await(drainMillis, TimeUnit.MILLISECONDS);
+        host.runWhenAllAnswered(() -> end(host, logHandler));
+        ended.await(endMillis - drainMillis, TimeUnit.MILLISECONDS);
         end(host, logHandler);
     }
 
--- a/daemon/src/test/java/org/flamingopitch/daemon/process/FrontSignalsTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/process/FrontSignalsTest.java
@@ -34,6 +34,29 @@
         }
     }
 
+    @Test
+    @Timeout(120)
+    void processLogsItsEndAfterSigterm(@TempDir Path folder) throws IOException, InterruptedException {
+        Path settings = folder.resolve("settings.json");
+        Files.writeString(settings, settings());
+        try (ChildProcess front =
+                ChildProcess.start(folder.resolve("front.log"), "front", "--settings", settings.toString())) {
+            awaitEvent(front, "started");
+            front.sendSignal("TERM");
+            assertThat(awaitLine(front, "event=draining")).contains("owner=false");
+            assertThat(awaitLine(front, "event=stopped")).contains("unanswered=0");
+            assertThat(front.awaitExit()).isZero();
+        }
+    }
+
+    private static String awaitLine(ChildProcess process, String text) {
+        String line = process.readLine();
+        while (!line.contains(text)) {
+            line = process.readLine();
+        }
+        return line;
+    }
+
     private static String awaitEvent(ChildProcess process, String event) {
         String line = process.readLine();
         while (!line.contains("event=" + event + " ")) {
