Refuse a submission without an owner only if it is certain that the job never runs

The same happened to a host that did not reach the owner for 2.2 s. Ruled out: a refusal by the owner, which knows all stored jobs. Change: a host that has no answer of an owner reads the owner's key and then the job: a stored job is accepted, a job that is not stored is refused only if the key is vacant, all else is in doubt. The time kept for the answer is at most a quarter of the caller's timeout. Result: repeatedSubmissionOfAStoredJobIsNotRefusedWhileTheOwnerIsUnreachable and submissionWithAShortTimeoutReachesTheOwner fail before and pass now.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/OwnerCall.java
@@ -26,6 +26,9 @@
     /** How long before the caller's own timeout the request ends, so that the answer still reaches the caller. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
 
+    /** Largest part of a short timeout that is kept for the answer. */
+    private static final int ANSWER_MARGIN_DIVISOR = 4;
+
     /** A takeover usually completes within this time; if it does not, the caller should retry later. */
     private static final Duration MAX_WAIT_FOR_OWNER = Duration.ofMillis(2_200);
 
@@ -60,6 +63,9 @@
 
     private boolean storeReadStarted;
 
+    /** Whether no further attempt is made. */
+    private boolean ending;
+
     private boolean completed;
 
     OwnerCall(
@@ -75,7 +81,12 @@
         this.request = request;
         this.handler = handler;
         this.startedAt = context.now();
-        this.deadline = startedAt.plus(timeout).minus(ANSWER_MARGIN);
+        this.deadline = startedAt.plus(timeout).minus(answerMargin(timeout));
+    }
+
+    private static Duration answerMargin(Duration timeout) {
+        Duration part = timeout.dividedBy(ANSWER_MARGIN_DIVISOR);
+        return part.compareTo(ANSWER_MARGIN) < 0 ? part : ANSWER_MARGIN;
     }
 
     void start() {
@@ -87,7 +98,7 @@
     }
 
     private void attempt() {
-        if (completed) {
+        if (completed || ending) {
             return;
         }
         Instant now = context.now();
@@ -172,14 +183,19 @@
     }
 
     private void completeUnanswered() {
-        if (request instanceof JobRequest.AskPending || request instanceof JobRequest.Submit) {
-            complete(
-                    outcomeUnknown || attemptPending
-                            ? new JobAnswer.InDoubt()
-                            : new JobAnswer.Refused(Duration.ofSeconds(1), "no owner"));
+        if (completed || ending) {
             return;
         }
-        complete(new JobAnswer.InDoubt());
+        ending = true;
+        boolean mayHaveTakenEffect = outcomeUnknown || attemptPending;
+        if (!mayHaveTakenEffect && request instanceof JobRequest.Submit submit) {
+            UnansweredSubmission.resolve(context, submit.id(), this::complete);
+            context.schedule(ANSWER_MARGIN, () -> complete(new JobAnswer.InDoubt()));
+        } else if (!mayHaveTakenEffect && request instanceof JobRequest.AskPending) {
+            complete(new JobAnswer.Refused(Duration.ofSeconds(1), "no owner"));
+        } else {
+            complete(new JobAnswer.InDoubt());
+        }
     }
 
     private void complete(JobAnswer answer) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -218,10 +218,21 @@
      * @return a list that receives the reply
      */
     public List<CallerReply> call(String host, CallerOperation operation, String path) {
+        return call(host, operation, path, Duration.ofSeconds(3));
+    }
+
+    /**
+     * Sends a caller's request to a host.
+     *
+     * @param host the host
+     * @param operation the operation
+     * @param path the path, which names the queue and the job
+     * @param timeout how long the caller waits
+     * @return a list that receives the reply
+     */
+    public List<CallerReply> call(String host, CallerOperation operation, String path, Duration timeout) {
         List<CallerReply> replies = new ArrayList<>();
-        hosts.get(host)
-                .node
-                .handle(new CallerJobRequest(operation, "callers.example", path, Duration.ofSeconds(3)), replies::add);
+        hosts.get(host).node.handle(new CallerJobRequest(operation, "callers.example", path, timeout), replies::add);
         return replies;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -131,6 +131,39 @@
         assertThat(session.running(JOB_ID)).isEmpty();
     }
 
+    @Test
+    void repeatedSubmissionOfAStoredJobIsNotRefusedWhileTheOwnerIsUnreachable() {
+        JobSpec spec = CellSession.job(1, 1_000, true);
+        submit("h1", JOB_PATH, spec);
+        session.advance(Duration.ofMillis(500));
+        String survivor = nonOwner();
+        session.killHost(owner());
+        List<CallerReply> repeated = submit(survivor, JOB_PATH, spec);
+        List<CallerReply> other = submit(survivor, "/q/" + OTHER_JOB_ID, spec);
+        session.advance(Duration.ofSeconds(3));
+        assertThat(repeated).containsExactly(new CallerReply.Done());
+        assertThat(other).hasSize(1).allMatch(reply -> reply instanceof CallerReply.InDoubt);
+    }
+
+    @Test
+    void submissionIsRefusedWhenNoOwnerExistsAndTheJobIsNotStored() {
+        String survivor = nonOwner();
+        session.node(survivor).drain();
+        session.killHost(owner());
+        session.store().endLeases();
+        List<CallerReply> replies = submit(survivor, JOB_PATH, CellSession.job(1, 1_000, false));
+        session.advance(Duration.ofSeconds(3));
+        assertThat(replies).hasSize(1).allMatch(reply -> reply instanceof CallerReply.Refused);
+    }
+
+    @Test
+    void submissionWithAShortTimeoutReachesTheOwner() {
+        CallerOperation submission = new CallerOperation.Submit(CellSession.job(1, 1_000, false));
+        List<CallerReply> replies = session.call(nonOwner(), submission, JOB_PATH, Duration.ofMillis(200));
+        session.advance(Duration.ofMillis(200));
+        assertThat(replies).containsExactly(new CallerReply.Done());
+    }
+
     @Test
     void lostStoreAnswersNeitherLoseNorDuplicateTasks() {
         session.store().setAnswersLost(true);
