Test suspensions, withdrawn queues and workers that have left across restarts

Change: sessions can suspend a host (its monotonic clock stands still), change the configuration and remove a worker; three tests. The suspension test also passes without the check of the time of day, because commits and fencing tokens prevent the same; so it shows the promise, not that mechanism. Conclusion: no fault found.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -69,6 +69,8 @@
 
     private Instant now = START_TIME;
 
+    private CellConfiguration configuration = initialConfiguration();
+
     private int startedHosts;
 
     private boolean storeConnectionsReset;
@@ -130,6 +132,15 @@
         return worker;
     }
 
+    /**
+     * Removes a worker and its registration.
+     *
+     * @param name its name
+     */
+    public void removeWorker(String name) {
+        workers.remove(name);
+    }
+
     /**
      * Adds a host and starts it.
      *
@@ -149,7 +160,7 @@
         Host host = new Host(name, processors);
         hosts.put(name, host);
         host.node.start();
-        host.node.configure(configuration());
+        host.node.configure(configuration);
     }
 
     /**
@@ -161,6 +172,31 @@
         hosts.remove(name).killed = true;
     }
 
+    /**
+     * Simulates a suspension of a host: its monotonic clock and its timers stand still, while the time of day, the store
+     * and the workers go on. Answers reach it when it wakes.
+     *
+     * @param name its name
+     * @param time how long it is suspended
+     */
+    public void suspendHost(String name, Duration time) {
+        Host host = hosts.get(name);
+        host.suspended = true;
+        advance(time);
+        host.suspended = false;
+        host.suspendedFor = host.suspendedFor.plus(time);
+    }
+
+    /**
+     * Changes the configuration of all hosts.
+     *
+     * @param next the configuration
+     */
+    public void configure(CellConfiguration next) {
+        configuration = next;
+        hosts.values().forEach(host -> host.node.configure(next));
+    }
+
     /**
      * Returns the cell node of a host.
      *
@@ -203,8 +239,10 @@
             workers.values().forEach(worker -> worker.advance(clockMillis()));
             pendingCalls.runDue(now);
             for (Host host : List.copyOf(hosts.values())) {
-                host.timers.runDue(now);
-                host.node.tick();
+                if (!host.suspended) {
+                    host.timers.runDue(host.now());
+                    host.node.tick();
+                }
             }
         }
     }
@@ -291,7 +329,7 @@
                 .toList();
     }
 
-    private static CellConfiguration configuration() {
+    private static CellConfiguration initialConfiguration() {
         QueueSpec queue = new QueueSpec(
                 new QueueName("q"), "callers.example", "/q/", new ServiceName("pool"), 0, 3, 2, 1_000, 3_000, false);
         return new CellConfiguration(1, List.of(queue), 100_000);
@@ -315,6 +353,10 @@
 
         private boolean killed;
 
+        private boolean suspended;
+
+        private Duration suspendedFor = Duration.ZERO;
+
         private Host(String name, double processors) {
             startedHosts++;
             self = new OwnerRecord(new ProcessId(name + "." + startedHosts), name, processors);
@@ -326,7 +368,7 @@
 
         @Override
         public Instant now() {
-            return now;
+            return now.minus(suspendedFor);
         }
 
         @Override
@@ -336,7 +378,7 @@
 
         @Override
         public void schedule(Duration delay, Runnable action) {
-            timers.add(now.plus(delay), action);
+            timers.add(now().plus(delay), action);
         }
 
         @Override
@@ -383,6 +425,13 @@
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
+            if (worker == null) {
+                answer(
+                        CALL_TIMEOUT,
+                        () -> handler.accept(
+                                new WorkerAnswer.Lost(new Failure("worker", target.address(), "no answer in time"))));
+                return;
+            }
             pendingCalls.add(now.plus(CALL_LATENCY), () -> {
                 WorkerAnswer result = worker.apply(order, clockMillis());
                 Duration answerDelay = result instanceof WorkerAnswer.Lost ? CALL_TIMEOUT : CALL_LATENCY;
@@ -421,11 +470,15 @@
         }
 
         private void answer(Duration delay, Runnable action) {
-            pendingCalls.add(now.plus(delay), () -> {
-                if (!killed) {
-                    action.run();
-                }
-            });
+            pendingCalls.add(now.plus(delay), () -> deliver(action));
+        }
+
+        private void deliver(Runnable action) {
+            if (suspended) {
+                answer(TICK, action);
+            } else if (!killed) {
+                action.run();
+            }
         }
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
+import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -344,6 +345,60 @@
                 .isEqualTo(3);
     }
 
+    /** The monotonic clock stands still during a suspension, so the owner's own time limits do not show it. */
+    @Test
+    void ownerThatWasSuspendedPastItsLeaseStartsNothing() {
+        submit("h1", JOB_PATH, CellSession.job(8, 1_000, false));
+        session.advance(Duration.ofMillis(500));
+        submit("h1", "/q/" + OTHER_JOB_ID, CellSession.job(4, 1_000, false));
+        session.advance(Duration.ofMillis(300));
+        String former = owner();
+        String next = nonOwner();
+        session.store().endLeases();
+        session.suspendHost(former, Duration.ofSeconds(4));
+        assertThat(owner()).isEqualTo(next);
+        endAllTasks(EndKind.DONE);
+        session.advance(Duration.ofSeconds(2));
+        assertThat(session.node(former).ownsCell()).isFalse();
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(4).doesNotHaveDuplicates();
+        assertThat(session.worker("w1").started().size()
+                        + session.worker("w2").started().size())
+                .isEqualTo(12);
+    }
+
+    @Test
+    void queueThatWasWithdrawnStaysWithdrawnAfterARestart() {
+        submit("h1", JOB_PATH, CellSession.job(1, 1_000, true));
+        session.advance(Duration.ofMillis(500));
+        session.configure(new CellConfiguration(2, List.of(), 100_000));
+        assertThat(submit("h1", "/q/" + OTHER_JOB_ID, CellSession.job(1, 1_000, false)))
+                .containsExactly(new CallerReply.NoQueue());
+        session.killHost("h1");
+        session.killHost("h2");
+        session.store().endLeases();
+        session.addHost("h1");
+        session.addHost("h2");
+        session.advance(Duration.ofSeconds(3));
+        assertThat(submit("h2", "/q/" + OTHER_JOB_ID, CellSession.job(1, 1_000, false)))
+                .containsExactly(new CallerReply.NoQueue());
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    @Test
+    void workerThatHasLeftIsNotUsedAfterARestartOfTheOwner() {
+        session.removeWorker("w1");
+        session.advance(Duration.ofSeconds(5));
+        session.killHost("h1");
+        session.killHost("h2");
+        session.store().endLeases();
+        session.addHost("h1");
+        session.advance(Duration.ofSeconds(3));
+        submit("h1", JOB_PATH, CellSession.job(8, 1_000, false));
+        session.advance(Duration.ofSeconds(2));
+        assertThat(session.running(JOB_ID)).hasSize(4);
+        assertThat(session.worker("w2").running()).hasSize(4);
+    }
+
     @Test
     void gangJobIsRefusedAndNeverRuns() {
         StepSpec plain = CellSession.step(2, 1_000, false, List.of());
