Give the cell up 0.4 s after a stop, even under load

Cause: a stopping owner handed the cell over only when no change was waiting to be committed. The hand-over to a stronger host waited in the same way. Change: an owner that gives up the cell waits 0.4 s at most; what is not durable then is in doubt, and callers' hosts repeat it at the next owner. Result: drainingOwnerUnderLoadHandsTheCellOverAndLosesNoSubmission fails without the limit and passes with it.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -29,6 +29,12 @@
      */
     private static final Duration SUSPENSION_THRESHOLD = Duration.ofMillis(300);
 
+    /**
+     * How long an owner that gives up the cell waits until its changes are durable. Under load there is always a change
+     * that waits; callers' hosts repeat requests that are not durable yet at the next owner.
+     */
+    private static final Duration MAX_FLUSH_TIME = Duration.ofMillis(400);
+
     private final CellContext context;
 
     private final OwnerClient ownerClient;
@@ -50,6 +56,9 @@
 
     private boolean draining;
 
+    /** When this owner gives the cell up even if a change is not durable. */
+    private Instant giveUpAt = Instant.MAX;
+
     private Instant lastTickAt = Instant.MIN;
 
     private long lastTickTimeOfDayMillis;
@@ -120,7 +129,7 @@
         }
         handover = request;
         LOGGER.atInfo().log("event=handover_started to=%s", request.candidate().process());
-        ownedCell.flush();
+        flushBeforeGivingUp();
         return true;
     }
 
@@ -130,7 +139,7 @@
         if (ownedCell != null) {
             ownedCell.tick();
         }
-        if (ownedCell != null && ownedCell.flushed()) {
+        if (ownedCell != null && (ownedCell.flushed() || !context.now().isBefore(giveUpAt))) {
             giveUpIfRequested();
         }
         if (!draining) {
@@ -138,6 +147,11 @@
         }
     }
 
+    private void flushBeforeGivingUp() {
+        giveUpAt = context.now().plus(MAX_FLUSH_TIME);
+        ownedCell.flush();
+    }
+
     private void giveUpIfRequested() {
         if (draining) {
             election.retire();
@@ -166,7 +180,7 @@
         draining = true;
         LOGGER.atInfo().log("event=draining owner=%s", ownedCell != null);
         if (ownedCell != null) {
-            ownedCell.flush();
+            flushBeforeGivingUp();
         } else {
             election.retire();
         }
@@ -234,6 +248,7 @@
         CellOwner formerOwner = ownedCell;
         ownedCell = null;
         handover = null;
+        giveUpAt = Instant.MAX;
         if (formerOwner != null) {
             formerOwner.close(cause);
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
@@ -399,6 +400,27 @@
         assertThat(session.worker("w2").running()).hasSize(4);
     }
 
+    /** With a submission every 5 ms and a slower store, a change is always waiting to be committed. */
+    @Test
+    void drainingOwnerUnderLoadHandsTheCellOverAndLosesNoSubmission() {
+        session.varyStoreLatency(Duration.ofMillis(40));
+        String former = owner();
+        String next = nonOwner();
+        List<List<CallerReply>> replies = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            if (i == 100) {
+                session.node(former).drain();
+            }
+            String path = "/q/" + String.format("%016x", i);
+            replies.add(submit(next, path, CellSession.job(1, 1, false)));
+            session.advance(Duration.ofMillis(5));
+        }
+        assertThat(session.node(next).ownsCell()).isTrue();
+        assertThat(session.node(former).ownsCell()).isFalse();
+        session.advance(Duration.ofSeconds(2));
+        assertThat(replies).allMatch(each -> each.equals(List.of(new CallerReply.Done())));
+    }
+
     @Test
     void gangJobIsRefusedAndNeverRuns() {
         StepSpec plain = CellSession.step(2, 1_000, false, List.of());
