Log long-running tasks that wait, and why workers with capacity are not used

Cause: the log of an owner shows when a run ends and when the next one starts, but not why nothing starts between them. Change: every 2 s the owner logs up to three long-running tasks that have waited for 2 s and more, with the number of workers that have capacity and how many of them are unusable, quarantined or reserved.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -108,7 +108,7 @@
     /** Releases the resources reserved on the worker and removes this run from its task. */
     void release(Instant now) {
         worker.remove(this, now);
-        task.clearRun();
+        task.clearRun(now);
     }
 
     RunPhase phase() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -59,6 +59,8 @@
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
 
+    private final WaitingTaskLogger waitingTaskLogger;
+
     /** Callbacks for changes that are not durable yet; run when the ownership ends before. */
     private final List<Runnable> outcomeUnknownCallbacks = new ArrayList<>();
 
@@ -81,8 +83,9 @@
         this.newerFencingTokenHandler = newerFencingTokenHandler;
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
-        this.placer =
-                new TaskPlacer(context, jobs, new PlacementPolicy(health, interference), orderSender, health, order);
+        PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
+        this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order);
+        this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
 
@@ -188,6 +191,7 @@
         }
         lastTickAt = now;
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
+        waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
             for (Run run : List.copyOf(worker.runs())) {
                 orderSender.repeatOrderIfDue(run);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -28,9 +28,12 @@
 
     private Instant retryNotBefore = Instant.MIN;
 
+    private Instant waitingSince;
+
     Task(Step step, TaskRef ref) {
         this.step = step;
         this.ref = ref;
+        this.waitingSince = step.job().submittedAt();
     }
 
     Step step() {
@@ -88,8 +91,14 @@
         return run;
     }
 
-    void clearRun() {
+    void clearRun(Instant now) {
         run = null;
+        waitingSince = now;
+    }
+
+    /** Returns since when the task has had no run: the end of its last one, or the submission of its job. */
+    Instant waitingSince() {
+        return waitingSince;
     }
 
     int lastRunNumber() {
