Repeat the placement pass while tasks wait

A placement pass ran only when an event requested it. Some changes that make a worker usable are no such event: the end of a quarantine (only time passes), an entry that returns unchanged after it was missing, an answer of a worker that was silent but had no runs, the end of a reservation. During traffic the next event hides it; when a cell is quiet, and after the end of the traffic, none comes. Ruled out: a lost end of a run, since the task has no run and its job is open. Class of fault: a state that only an event ends, and the event can be missing. Change: a pass records whether it left ready tasks waiting; while it did, the next one runs after 500 ms at the latest, whatever the events. Session and recovery tests pass (28). Whether it is what the users saw isn't known: their report has no trace. The limit per worker, reservations and the growth of quarantines follow as faults of their own.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -22,6 +22,12 @@
      */
     private static final Duration MIN_PASS_INTERVAL = Duration.ofMillis(25);
 
+    /**
+     * Time between passes while tasks wait. Capacity may become available without an event that requests a pass, for
+     * example at the end of a quarantine or of a reservation.
+     */
+    private static final Duration WAITING_TASKS_PASS_INTERVAL = Duration.ofMillis(500);
+
     private final CellContext context;
 
     private final JobTable jobs;
@@ -44,6 +50,9 @@
 
     private boolean passRequested;
 
+    /** Whether the last pass left tasks waiting that were ready to start. */
+    private boolean tasksWaiting;
+
     private Instant lastPassAt = Instant.MIN;
 
     TaskPlacer(
@@ -75,9 +84,13 @@
         passRequested = true;
     }
 
-    /** Runs a pass if one is requested and the last one is long enough ago. */
+    /** Runs a pass if one is requested, or tasks wait, and the last one is long enough ago. */
     void placeIfDue() {
-        if (passRequested && mayAct.getAsBoolean() && !context.now().isBefore(lastPassAt.plus(MIN_PASS_INTERVAL))) {
+        if (!passRequested && !tasksWaiting) {
+            return;
+        }
+        Duration interval = passRequested ? MIN_PASS_INTERVAL : WAITING_TASKS_PASS_INTERVAL;
+        if (mayAct.getAsBoolean() && !context.now().isBefore(lastPassAt.plus(interval))) {
             lastPassAt = context.now();
             runPass();
         }
@@ -85,6 +98,7 @@
 
     private void runPass() {
         passRequested = false;
+        tasksWaiting = false;
         Instant now = context.now();
         long timeOfDayMillis = context.timeOfDayMillis();
         List<Job> waiting = new ArrayList<>();
@@ -115,12 +129,17 @@
         boolean placed = false;
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                if (step.done() || !step.ready(timeOfDayMillis) || failures.covers(step)) {
+                if (step.done() || !step.ready(timeOfDayMillis)) {
+                    continue;
+                }
+                if (failures.covers(step)) {
+                    tasksWaiting = true;
                     continue;
                 }
                 placed |= placeStep(step, pass, now);
                 if (step.waitingCount(now) > 0) {
                     failures.add(step);
+                    tasksWaiting = true;
                 }
             }
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -443,8 +443,10 @@
         public void listWorkers(Consumer<WorkerListing> handler) {
             answer(
                     CALL_LATENCY,
-                    () -> handler.accept(new WorkerListing.Listed(
-                            workers.values().stream().map(FakeWorker::entry).toList())));
+                    () -> handler.accept(new WorkerListing.Listed(workers.values().stream()
+                            .filter(FakeWorker::listed)
+                            .map(FakeWorker::entry)
+                            .toList())));
         }
 
         @Override
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -49,6 +49,8 @@
 
     private boolean draining;
 
+    private boolean listed = true;
+
     /**
      * Creates a worker.
      *
@@ -96,6 +98,24 @@
         draining = isDraining;
     }
 
+    /**
+     * Sets whether the list of workers contains this worker.
+     *
+     * @param isListed whether it is listed
+     */
+    public void setListed(boolean isListed) {
+        listed = isListed;
+    }
+
+    /**
+     * Returns whether the list of workers contains this worker.
+     *
+     * @return whether it is listed
+     */
+    public boolean listed() {
+        return listed;
+    }
+
     /** Restarts the worker as a new incarnation under the same name, without its runs and its fencing token. */
     public void restart() {
         incarnation++;
