Keep a step over its limit per worker from hiding other steps

A pass remembers the kinds of tasks that found no worker and skips later steps of the same kind with at least the same demand. A step with a limit of tasks per worker that runs on every worker already finds none for its next task, whatever capacity there is; its kind held only that a limit exists, so each pass skipped the other steps with a limit, for as long as the first one waited. Ruled out: a missing pass, since the test fails also with passes every 500 ms. Class of fault: a failure is generalised beyond what caused it. Change: a failed placement is not remembered if the step's limit excluded a worker. Steps with and without a limit are now of one kind, since a lack of capacity concerns both. Conclusion: this matches the users' report best, since the task waits for good and in all passes. It is still only suspected to be theirs: their report has no trace.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FailedPlacements.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FailedPlacements.java
@@ -21,28 +21,23 @@
         return failedDemand != null && failedDemand.fitsInto(step.spec().demand());
     }
 
-    /** Records that a task of the step could not be placed. */
+    /**
+     * Records that a task of the step could not be placed. The failure says nothing about other steps if the step's
+     * limit of tasks per worker excluded a worker.
+     */
     void add(Step step) {
+        if (step.reachesMaxPerWorker()) {
+            return;
+        }
         failedDemands.put(TaskKind.of(step), step.spec().demand());
     }
 
-    private record TaskKind(
-            ServiceName service,
-            boolean longRunning,
-            boolean bestEffort,
-            String image,
-            String label,
-            boolean limitedPerWorker) {
+    private record TaskKind(ServiceName service, boolean longRunning, boolean bestEffort, String image, String label) {
 
         private static TaskKind of(Step step) {
             StepSpec spec = step.spec();
             return new TaskKind(
-                    step.job().queue().service(),
-                    spec.lasting(),
-                    spec.fills(),
-                    spec.imageName(),
-                    spec.requiredLabel(),
-                    spec.maxPerWorker() > 0);
+                    step.job().queue().service(), spec.lasting(), spec.fills(), spec.imageName(), spec.requiredLabel());
         }
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 
@@ -119,6 +122,18 @@
         return count;
     }
 
+    /** Returns whether a worker runs as many of the step's tasks as the step permits on one worker. */
+    boolean reachesMaxPerWorker() {
+        if (spec.maxPerWorker() == 0) {
+            return false;
+        }
+        Map<WorkerState, Integer> runsByWorker = new HashMap<>();
+        return tasks.stream()
+                .map(Task::run)
+                .filter(Objects::nonNull)
+                .anyMatch(run -> runsByWorker.merge(run.worker(), 1, Integer::sum) >= spec.maxPerWorker());
+    }
+
     int waitingCount(Instant now) {
         int count = 0;
         for (Task task : tasks) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +42,15 @@
         return session.worker(session.worker("w1").running().isEmpty() ? "w1" : "w2");
     }
 
+    private void endTasks(String job, EndKind kind) {
+        for (String name : List.of("w1", "w2")) {
+            FakeWorker worker = session.worker(name);
+            worker.running().stream()
+                    .filter(task -> task.job().value().equals(job))
+                    .forEach(task -> worker.end(task, kind));
+        }
+    }
+
     @Test
     void taskStartsWhenTheQuarantineOfTheOnlyWorkerWithCapacityEnds() {
         FakeWorker free = runAloneOnOneWorker(OTHER_JOB_ID);
@@ -62,4 +74,37 @@
         session.advance(MAX_WAIT);
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
+
+    @Test
+    void taskOverItsLimitPerWorkerDoesNotHideTasksOfAnotherStep() {
+        submit(JOB_ID, new JobSpec("work", List.of(limitedStep(3, 500)), 0, 0, 0));
+        submit(OTHER_JOB_ID, new JobSpec("work", List.of(limitedStep(1, 2_000)), 0, 0, 0));
+        session.advance(Duration.ofSeconds(15));
+        assertThat(session.running(JOB_ID)).hasSize(2);
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
+        endTasks(OTHER_JOB_ID, EndKind.FAILED);
+        session.advance(MAX_WAIT);
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
+    }
+
+    private static StepSpec limitedStep(int count, long milliCores) {
+        StepSpec plain = CellSession.step(count, milliCores, true, List.of());
+        return new StepSpec(
+                count,
+                plain.demand(),
+                plain.estimateMillis(),
+                List.of(),
+                true,
+                false,
+                false,
+                null,
+                null,
+                1,
+                false,
+                true,
+                null,
+                0,
+                false,
+                0);
+    }
 }
