Place a task on the worker that is reserved for it, whatever others of its kind find

A pass first tries a step that comes earlier in the order; it finds no worker, because the only one with capacity is reserved for another task; the pass then skips all later steps of that kind, also the one that holds the reservation. Within one step the first task that finds no worker ended the search in the same way. Ruled out: preemption that comes too late, since the capacity was free. Change: a task that holds a reservation is tried even if others of its kind, or earlier tasks of its step, found no worker. A failed placement never replaces one of a smaller demand of the same kind.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FailedPlacements.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FailedPlacements.java
@@ -29,7 +29,8 @@
         if (step.reachesMaxPerWorker()) {
             return;
         }
-        failedDemands.put(TaskKind.of(step), step.spec().demand());
+        failedDemands.merge(
+                TaskKind.of(step), step.spec().demand(), (former, added) -> former.fitsInto(added) ? former : added);
     }
 
     private record TaskKind(ServiceName service, boolean longRunning, boolean bestEffort, String image, String label) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -26,6 +26,9 @@
 
     private Run run;
 
+    /** The worker that was last reserved for this task, or null. */
+    private WorkerState reservedWorker;
+
     private Instant retryNotBefore = Instant.MIN;
 
     private Instant waitingSince;
@@ -134,6 +137,15 @@
         return avoidedWorkers.size();
     }
 
+    void setReservedWorker(WorkerState worker) {
+        reservedWorker = worker;
+    }
+
+    /** Returns whether the free capacity of a worker is reserved for this task. */
+    boolean hasReservation(Instant now) {
+        return reservedWorker != null && reservedWorker.reservedFor(now) == this;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -132,11 +132,7 @@
                 if (step.done() || !step.ready(timeOfDayMillis)) {
                     continue;
                 }
-                if (failures.covers(step)) {
-                    tasksWaiting = true;
-                    continue;
-                }
-                placed |= placeStep(step, pass, now);
+                placed |= placeStep(step, pass, failures.covers(step), now);
                 if (step.waitingCount(now) > 0) {
                     failures.add(step);
                     tasksWaiting = true;
@@ -148,17 +144,30 @@
         }
     }
 
-    private boolean placeStep(Step step, PlacementPass pass, Instant now) {
+    /**
+     * Places the waiting tasks of a step.
+     *
+     * @param onlyReserved whether to place only tasks that a worker is reserved for, as no other worker has capacity
+     */
+    private boolean placeStep(Step step, PlacementPass pass, boolean onlyReserved, Instant now) {
+        List<Task> tasks = step.tasks().stream()
+                .filter(task -> task.waiting(now) && (!onlyReserved || task.hasReservation(now)))
+                .toList();
+        if (tasks.isEmpty()) {
+            return false;
+        }
         boolean placed = false;
+        boolean capacityExhausted = false;
         PlacementPass.Search search = pass.search(step);
-        for (Task task : step.tasks()) {
-            if (!task.waiting(now)) {
+        for (Task task : tasks) {
+            if (capacityExhausted && !task.hasReservation(now)) {
                 continue;
             }
             PlacementCandidate candidate = search.findBest(task);
             if (candidate == null) {
+                capacityExhausted = true;
                 requestCapacity(task, now);
-                return placed;
+                continue;
             }
             Run run = task.place(candidate.worker(), now);
             candidate.worker().add(run);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -311,6 +311,7 @@
     void reserveFor(Task task, Instant until) {
         reservationTask = task;
         reservedUntil = until;
+        task.setReservedWorker(this);
     }
 
     Resources reserved() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -87,6 +87,25 @@
         assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
     }
 
+    @Test
+    void taskWithAReservationIsPlacedThoughAnotherOneOfItsKindIsNot() {
+        session.addWorker("large", 8_000);
+        submit("00000000000000dd", CellSession.job(2, 3_000, true));
+        session.advance(Duration.ofSeconds(2));
+        submit("00000000000000ee", CellSession.job(10, 1_000, false));
+        session.advance(Duration.ofMillis(500));
+        submit(JOB_ID, CellSession.job(1, 3_000, true));
+        session.advance(Duration.ofMillis(100));
+        submit(OTHER_JOB_ID, CellSession.job(1, 3_000, true));
+        session.advance(Duration.ofMillis(100));
+        FakeWorker large = session.worker("large");
+        assertThat(large.running()).hasSize(8);
+        large.running().forEach(task -> large.end(task, EndKind.DONE));
+        session.advance(MAX_WAIT);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+        assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
+    }
+
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = CellSession.step(count, milliCores, true, List.of());
         return new StepSpec(
