Stop waiting for a former owner's leases once it is known to have stopped

A successor can't poll a lost worker. It waited as long as a former owner may extend leases without the store (4 s) and the longest lease (6.1 s), counted from its own election, although the former owner had died 2 s before that. Ruled out: a lost end, a missing pass and a lack of capacity: the owner's log shows run_gone cause="worker lease expired" 10.3 to 10.4 s after each election, and no waiting task until then. Change: the election tells the successor which process was the last owner, if the watch showed all changes between their two records. The successor asks the process at that address until it answers that it does not own the cell: it has given up, or another process has the address. From then on the former owner extends no lease, so the wait is one lease from that moment, and not less than 4 s and a lease after its record was first seen, in case it learns late of its election. Result: the new test fails before (0 of 1 tasks running 11 s after the host's restart: 4 s until it counts as undisturbed, 4 s of calm, 3 s) and passes now. Conclusion: fixed where the former owner's host answers again within 4 s of the election. Where it stays silent (power lost, replaced for good), the wait stays 10.4 s, since it may be alive.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -34,7 +34,7 @@
 
     private long revision;
 
-    private boolean initialListReceived;
+    private int completeLists;
 
     private boolean stopped;
 
@@ -104,7 +104,17 @@
      * @return whether a list request has been answered
      */
     public boolean initialListReceived() {
-        return initialListReceived;
+        return completeLists > 0;
+    }
+
+    /**
+     * Returns how often all keys have been read. Between two such reads the listeners receive every change; a change
+     * that was reversed before such a read is not reported.
+     *
+     * @return the number of answered list requests
+     */
+    public int completeLists() {
+        return completeLists;
     }
 
     /**
@@ -170,9 +180,9 @@
     }
 
     private void applyList(KeyValueResult.Listed list) {
-        initialListReceived = true;
         revision = list.revision();
         if (list.complete()) {
+            completeLists++;
             deleteUnlisted(list);
         }
         for (KeyValueEntry entry : list.entries()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -10,6 +10,7 @@
 import org.flamingopitch.scheduler.cell.owner.CellOwner;
 import org.flamingopitch.scheduler.cell.owner.CellTimings;
 import org.flamingopitch.scheduler.cell.owner.Election;
+import org.flamingopitch.scheduler.cell.owner.FormerOwner;
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
@@ -243,6 +244,22 @@
         ownedCell.start();
     }
 
+    @Override
+    public void formerOwnerIdentified(FormerOwner formerOwner) {
+        CellOwner cell = ownedCell;
+        if (formerOwner.owner().address().equals(self.address())) {
+            cell.recordFormerOwnerStopped(formerOwner);
+            return;
+        }
+        new FormerOwnerProbe(
+                        context,
+                        ownerClient,
+                        formerOwner.owner(),
+                        cell::mayFormerOwnerAct,
+                        () -> cell.recordFormerOwnerStopped(formerOwner))
+                .start();
+    }
+
     @Override
     public void deposed(String cause) {
         CellOwner formerOwner = ownedCell;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -57,6 +57,9 @@
 
     private final Instant electedAt;
 
+    /** The longest time for which a worker may hold a lease, by the clock of this process. */
+    private final Duration longestLease;
+
     private CellConfiguration configuration;
 
     private CommitLog commitLog;
@@ -85,7 +88,7 @@
         this.configuration = configuration;
         this.electedAt = context.now();
         // The clock of a worker may be 2 % slow.
-        Duration longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
+        this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
         Instant formerLeaseExpiry =
                 electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
         this.runManager = new RunManager(context, timings, fencingToken, jobs, this::stepDownAfterRejection);
@@ -101,6 +104,32 @@
         recordsLoader.start();
     }
 
+    /**
+     * Shortens the wait for workers that cannot be reached, since the former owner extends no more leases. The claim of
+     * an owner is sent before its record is seen, and it acts for {@link #MAX_UNCONFIRMED_TIME} after that at most, even
+     * if it learns late that it was elected; the same holds for all owners before it.
+     *
+     * @param formerOwner an owner that has been found not to own the cell any more
+     */
+    public void recordFormerOwnerStopped(FormerOwner formerOwner) {
+        Instant now = context.now();
+        Instant lastActAt = formerOwner.seenAt().plus(MAX_UNCONFIRMED_TIME);
+        Instant stoppedAt = lastActAt.isAfter(now) ? lastActAt : now;
+        LOGGER.atInfo().log(
+                "event=former_owner_stopped owner=%s after_election_ms=%d",
+                formerOwner.owner().process(), Duration.between(electedAt, now).toMillis());
+        workerRegistry.limitFormerLeases(stoppedAt.plus(longestLease).plus(TAKEOVER_MARGIN));
+    }
+
+    /**
+     * Returns whether it is of use to learn that the former owner has stopped.
+     *
+     * @return whether this process owns the cell and the former owner may still extend leases
+     */
+    public boolean mayFormerOwnerAct() {
+        return !closed && context.now().isBefore(electedAt.plus(MAX_UNCONFIRMED_TIME));
+    }
+
     /**
      * Ends the ownership: answers the requests that wait, and writes nothing more.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -54,6 +54,8 @@
     /** A lease under which the present owner may write this process's record; null if no handover is under way. */
     private String handoverLeaseId;
 
+    private final FormerOwnerTracker formerOwnerTracker;
+
     private Instant confirmedAt = Instant.MIN;
 
     private Duration roundTrip = Duration.ofMillis(50);
@@ -76,6 +78,7 @@
         this.self = self;
         this.listener = listener;
         this.campaignDelay = new CampaignDelay(self);
+        this.formerOwnerTracker = new FormerOwnerTracker(self);
         this.watcher = new StoreWatcher(context, CellKeys.OWNER_PREFIX, MAX_WATCH_WAIT);
     }
 
@@ -175,6 +178,7 @@
             owner = Optional.empty();
         }
         ownedVersion = 0;
+        formerOwnerTracker.reset();
         revokeLease();
         listener.deposed(cause);
         if (owner.isEmpty()) {
@@ -196,7 +200,11 @@
     }
 
     private void applyOwnerEntry(KeyValueEntry entry) {
-        if (!entry.key().equals(CellKeys.OWNER) || entry.version() < ownerVersion) {
+        if (!entry.key().equals(CellKeys.OWNER)) {
+            return;
+        }
+        if (entry.version() < ownerVersion) {
+            recordSighting(entry);
             return;
         }
         ownerVersion = entry.version();
@@ -216,6 +224,7 @@
         if (owning() && entry.version() != ownedVersion) {
             stepDown("another process holds the owner's key");
         }
+        recordSighting(entry);
         if (!owning() && handoverLeaseId != null && record.process().equals(self.process())) {
             acceptHandover(entry.version());
         }
@@ -225,6 +234,19 @@
         }
     }
 
+    private void recordSighting(KeyValueEntry entry) {
+        if (!entry.deleted()) {
+            formerOwnerTracker.record(entry, watcher.completeLists(), context.now());
+            reportFormerOwner();
+        }
+    }
+
+    private void reportFormerOwner() {
+        if (owning()) {
+            formerOwnerTracker.formerOwner(ownedVersion).ifPresent(listener::formerOwnerIdentified);
+        }
+    }
+
     /**
      * Returns whether an owner is a former process of this host. It has ended, as this process uses its address, so its
      * key can be replaced before its lease expires.
@@ -341,6 +363,7 @@
         recordConfirmation(sentAt);
         LOGGER.atInfo().log("event=elected version=%d", version);
         listener.elected(version);
+        reportFormerOwner();
         scheduleRenewal(LEASE_RENEWAL_INTERVAL);
     }
 
@@ -437,6 +460,13 @@
          */
         void elected(long version);
 
+        /**
+         * The last owner before this process is known.
+         *
+         * @param formerOwner the owner
+         */
+        void formerOwnerIdentified(FormerOwner formerOwner);
+
         /**
          * This process no longer owns the cell.
          *
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwner.java
@@ -0,0 +1,11 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+
+/**
+ * The last owner of the cell before this process.
+ *
+ * @param owner its record
+ * @param seenAt when this process first saw the record; all earlier owners had lost the owner's key before
+ */
+public record FormerOwner(OwnerRecord owner, Instant seenAt) {}
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwnerTracker.java
@@ -0,0 +1,56 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.flamingopitch.coordination.api.JsonCodec;
+import org.flamingopitch.coordination.kv.KeyValueEntry;
+
+/** Determines from the records seen under the owner's key which process was the last owner before this one. */
+final class FormerOwnerTracker {
+
+    private final OwnerRecord self;
+
+    /** The last other owner that was seen, or null. */
+    private FormerOwner lastOther;
+
+    private int lastOtherLists;
+
+    private long ownVersion;
+
+    private int ownLists;
+
+    FormerOwnerTracker(OwnerRecord self) {
+        this.self = self;
+    }
+
+    /**
+     * Records an entry with an owner's record.
+     *
+     * @param completeLists how often all keys have been read instead of their changes
+     */
+    void record(KeyValueEntry entry, int completeLists, Instant now) {
+        OwnerRecord owner = JsonCodec.compact().decode(entry.value(), OwnerRecord.class);
+        if (owner.process().equals(self.process())) {
+            ownVersion = entry.version();
+            ownLists = completeLists;
+        } else {
+            lastOther = new FormerOwner(owner, now);
+            lastOtherLists = completeLists;
+        }
+    }
+
+    /** Forgets the last other owner, since this process was an owner after it. */
+    void reset() {
+        lastOther = null;
+    }
+
+    /**
+     * Returns the last owner before this process, if it is certain that there was none between them, which means that
+     * all changes of the key from its record to this process's own one were seen.
+     *
+     * @param version the version of this process's own record
+     */
+    Optional<FormerOwner> formerOwner(long version) {
+        return ownVersion == version && ownLists == lastOtherLists ? Optional.ofNullable(lastOther) : Optional.empty();
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -45,7 +45,7 @@
 
     private final Duration leaseDuration;
 
-    private final Instant formerLeaseExpiry;
+    private Instant formerLeaseExpiry;
 
     private final RunListener listener;
 
@@ -92,6 +92,14 @@
         return workers.values();
     }
 
+    /** Sets an earlier time by which all leases of a former owner have expired. */
+    void limitFormerLeases(Instant expiry) {
+        if (expiry.isBefore(formerLeaseExpiry)) {
+            formerLeaseExpiry = expiry;
+            workers.values().forEach(worker -> worker.limitFormerLease(expiry));
+        }
+    }
+
     /** Returns the state of a worker; creates it without an entry if the worker is unknown. */
     WorkerState worker(WorkerId id) {
         return workers.computeIfAbsent(id, key -> new WorkerState(key, formerLeaseExpiry));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -201,6 +201,13 @@
         return clockAt.plusMillis((long) (remainingMillis / MIN_CLOCK_RATE)).plus(CLOCK_ROUNDING_MARGIN);
     }
 
+    /** Sets an earlier time by which all leases of a former owner have expired. */
+    void limitFormerLease(Instant expiry) {
+        if (formerLeaseExpiry != null && expiry.isBefore(formerLeaseExpiry)) {
+            formerLeaseExpiry = expiry;
+        }
+    }
+
     boolean leaseExpired() {
         return leaseExpired;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -65,6 +65,8 @@
 
     private final TimerQueue pendingCalls = new TimerQueue();
 
+    private final Partitions partitions = new Partitions();
+
     private final SplittableRandom random;
 
     private Instant now = START_TIME;
@@ -207,6 +209,15 @@
         return hosts.get(name).node;
     }
 
+    /**
+     * Returns the partitions between hosts, store and workers.
+     *
+     * @return the partitions
+     */
+    public Partitions partitions() {
+        return partitions;
+    }
+
     /**
      * Returns the store.
      *
@@ -397,7 +408,7 @@
         }
 
         private void executeStoreCall(KeyValueRequest request, Instant receivedAt, Consumer<KeyValueResult> handler) {
-            if (storeConnectionsReset) {
+            if (storeConnectionsReset || !partitions.reachesStore(self.address())) {
                 answer(Duration.ZERO, () -> handler.accept(connectionReset()));
                 return;
             }
@@ -425,7 +436,7 @@
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
-            if (worker == null) {
+            if (worker == null || !partitions.reachesWorker(self.address(), worker.name())) {
                 answer(
                         CALL_TIMEOUT,
                         () -> handler.accept(
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -62,6 +62,10 @@
         this.capacity = new Resources(milliCores, 100_000, 0);
     }
 
+    String name() {
+        return name;
+    }
+
     /**
      * Sets whether all orders are lost, without effect or answer. Started runs continue until the worker's lease ends.
      *
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
@@ -0,0 +1,99 @@
+package org.flamingopitch.scheduler.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a successor treats tasks as ended whose workers it cannot reach. */
+final class FormerOwnerLeaseTest {
+
+    private static final String JOB_ID = "00000000000000aa";
+
+    /** The time that a process takes to start after its host was killed. */
+    private static final Duration RESTART_TIME = Duration.ofSeconds(3);
+
+    /**
+     * The platform counts a long-running task as lost 3 s after 4 s without a disruption, and a host as undisrupted 4 s
+     * after its restart.
+     */
+    private static final Duration MAX_WAIT_AFTER_RESTART = Duration.ofSeconds(4 + 4 + 3);
+
+    private static final int SEEDS = 200;
+
+    private static final List<String> HOSTS = List.of("h1", "h2");
+
+    private CellSession session = new CellSession();
+
+    private void start() {
+        session.store().setLeasesExpire(true);
+        session.addWorker("w1", 4_000);
+        session.addWorker("w2", 4_000);
+        HOSTS.forEach(session::addHost);
+        session.advance(Duration.ofSeconds(3));
+        CallerOperation submission = new CallerOperation.Submit(CellSession.job(1, 1_000, true));
+        session.call("h1", submission, "/q/" + JOB_ID);
+        session.advance(Duration.ofMillis(500));
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    private String owner() {
+        return session.node("h1").ownsCell() ? "h1" : "h2";
+    }
+
+    private String workerOfTask() {
+        return session.worker("w1").running().isEmpty() ? "w2" : "w1";
+    }
+
+    @Test
+    void taskOfAWorkerThatIsLostTogetherWithTheOwnerStartsElsewhereInTime() {
+        start();
+        String killed = owner();
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        session.killHost(killed);
+        session.advance(RESTART_TIME);
+        session.addHost(killed);
+        session.advance(MAX_WAIT_AFTER_RESTART.minus(RESTART_TIME));
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    @Test
+    void taskNeverRunsTwiceWhileItsFormerOwnerMayExtendTheLease() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            session = new CellSession(seed);
+            start();
+            runPartition(new SplittableRandom(seed), "seed " + seed);
+        }
+    }
+
+    /** Cuts the owner off from the store and its successor off from the worker that runs the task. */
+    private void runPartition(SplittableRandom random, String description) {
+        String former = owner();
+        String successor = former.equals("h1") ? "h2" : "h1";
+        String worker = workerOfTask();
+        session.partitions().cutFromWorker(successor, worker);
+        session.partitions().cutFromStore(former);
+        int healAfterMillis = random.nextInt(12_000);
+        int killAfterMillis = random.nextInt(24_000);
+        boolean killed = false;
+        for (int millis = 0; millis < 20_000; millis += 5) {
+            if (!killed && millis >= healAfterMillis) {
+                session.partitions().reconnectToStore(former);
+            }
+            if (!killed && millis >= killAfterMillis) {
+                killed = true;
+                session.partitions().reconnectToStore(former);
+                session.killHost(former);
+            }
+            if (killed && millis == killAfterMillis / 5 * 5 + 1_000) {
+                session.addHost(former);
+            }
+            session.advance(Duration.ofMillis(5));
+            assertThat(session.running(JOB_ID)).as(description).doesNotHaveDuplicates();
+        }
+    }
+}
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -132,6 +132,34 @@
         assertThat(election.confirmedAt()).isAfter(Instant.MIN);
     }
 
+    @Test
+    void formerOwnerIsKnownIfTheWatchShowedAllChangesSinceItsElection() {
+        showOtherOwnerAndItsEnd();
+        grantLease();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(13));
+        assertThat(listener.formerOwner).isNull();
+        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry(SELF, 13)), 13, false));
+        assertThat(listener.formerOwner.owner()).isEqualTo(OTHER);
+    }
+
+    @Test
+    void formerOwnerIsUnknownIfAnotherOwnerMayHaveBeenMissed() {
+        showOtherOwnerAndItsEnd();
+        grantLease();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(15));
+        store.fail(KeyValueRequest.Watch.class);
+        store.advance(Duration.ofSeconds(1));
+        store.answer(KeyValueRequest.ListPrefix.class, new KeyValueResult.Listed(List.of(entry(SELF, 15)), 15, true));
+        assertThat(election.owning()).isTrue();
+        assertThat(listener.formerOwner).isNull();
+    }
+
+    private void showOtherOwnerAndItsEnd() {
+        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry(OTHER, 11)), 11, false));
+        KeyValueEntry deletion = new KeyValueEntry(CellKeys.OWNER, null, 12);
+        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(deletion), 12, false));
+    }
+
     private void grantLease() {
         store.answer(KeyValueRequest.GrantLease.class, new KeyValueResult.Leased("lease"));
     }
@@ -144,11 +172,18 @@
 
         private int electedVersions;
 
+        private FormerOwner formerOwner;
+
         @Override
         public void elected(long version) {
             electedVersions++;
         }
 
+        @Override
+        public void formerOwnerIdentified(FormerOwner owner) {
+            formerOwner = owner;
+        }
+
         @Override
         public void deposed(String cause) {}
 
