Reserve another worker for a task if a worker leaves stops unanswered

Cause: a long-running task that needs short tasks preempted waited 11 s for a worker that left its stops unanswered, while another worker had only short tasks. The planner counts the capacity of runs being stopped as about to be free, however long the stop has been unanswered; so after each reservation it chose the same worker, with no run left to stop. Class of fault: a state that only an event ends, and the event can be missing. Change: a run whose stop has been unanswered for a second no longer counts as about to end. Result: the new test fails before (0 of 1 tasks running after 8.3 s) and passes now. Conclusion: fixed.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
@@ -29,6 +29,9 @@
     /** How long a worker stays reserved; a stop takes less than a second. */
     private static final Duration RESERVATION_DURATION = Duration.ofMillis(3_500);
 
+    /** A worker that leaves a stop unanswered for this time may keep the run until its lease expires. */
+    private static final Duration STOP_ANSWER_TIMEOUT = Duration.ofSeconds(1);
+
     private final WorkerOrderSender orderSender;
 
     private final PlacementPolicy placementPolicy;
@@ -55,8 +58,9 @@
         List<Run> fewestVictims = null;
         for (WorkerState worker : workers) {
             boolean isCandidate = usable.test(worker) && worker.reservedFor(now) == null;
-            List<Run> victims =
-                    isCandidate && placementPolicy.permits(task.step(), worker) ? selectVictims(task, worker) : null;
+            List<Run> victims = isCandidate && placementPolicy.permits(task.step(), worker)
+                    ? selectVictims(task, worker, now)
+                    : null;
             if (victims != null && (fewestVictims == null || victims.size() < fewestVictims.size())) {
                 bestWorker = worker;
                 fewestVictims = victims;
@@ -73,7 +77,7 @@
 
     private void preemptIfDelayOver(Task task, WorkerState worker, Instant now) {
         Instant reservedSince = worker.reservedUntil().minus(RESERVATION_DURATION);
-        List<Run> victims = selectVictims(task, worker);
+        List<Run> victims = selectVictims(task, worker, now);
         if (victims != null && !victims.isEmpty() && !now.isBefore(reservedSince.plus(PREEMPTION_DELAY))) {
             LOGGER.atInfo().log(
                     "event=room_made task=%s worker=%s stopped=%d", task.ref(), worker.id(), victims.size());
@@ -82,7 +86,7 @@
     }
 
     /** Returns the runs to stop so that the task fits, or null if it does not fit even then. */
-    private static List<Run> selectVictims(Task task, WorkerState worker) {
+    private static List<Run> selectVictims(Task task, WorkerState worker, Instant now) {
         List<Run> candidates = new ArrayList<>();
         for (Run run : worker.runs()) {
             boolean canStop = run.phase() == RunPhase.RUNNING || run.phase() == RunPhase.SENT;
@@ -91,7 +95,7 @@
             }
         }
         candidates.sort(Comparator.comparing(Run::placedAt).reversed());
-        Resources free = worker.freeAfterStops();
+        Resources free = worker.freeAfterStops(now.minus(STOP_ANSWER_TIMEOUT));
         List<Run> victims = new ArrayList<>();
         for (Run run : candidates) {
             if (task.step().spec().reserved().fitsInto(free)) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -293,11 +293,17 @@
         return entry.capacity().minus(reserved);
     }
 
-    /** Returns the free capacity that remains when the runs being stopped have ended. */
-    Resources freeAfterStops() {
+    /**
+     * Returns the free capacity that remains when the runs being stopped have ended.
+     *
+     * @param unansweredSince a stop that was first sent before this time and is not answered does not count
+     */
+    Resources freeAfterStops(Instant unansweredSince) {
         Resources free = free();
         for (Run run : runs) {
-            if (run.phase() == RunPhase.STOPPING) {
+            boolean expected =
+                    run.orderOutcomeKnownAt() != null || run.phaseSince().isAfter(unansweredSince);
+            if (run.phase() == RunPhase.STOPPING && expected) {
                 free = free.plus(run.task().step().spec().reserved());
             }
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -122,6 +122,53 @@
         assertThat(session.running(OTHER_JOB_ID)).hasSize(1);
     }
 
+    @Test
+    void taskStartsWhenTheOnlyWorkerWithCapacityAnswersAgain() {
+        submit(OTHER_JOB_ID, CellSession.job(1, 3_000, true));
+        submit("00000000000000dd", CellSession.job(1, 1_500, true));
+        session.advance(Duration.ofMillis(500));
+        FakeWorker silent = session.worker(
+                session.worker("w1").running().stream()
+                                .anyMatch(task -> task.job().value().equals(OTHER_JOB_ID))
+                        ? "w2"
+                        : "w1");
+        silent.setUnresponsive(true);
+        session.advance(Duration.ofMillis(1_500));
+        submit(JOB_ID, CellSession.job(1, 2_000, true));
+        session.advance(Duration.ofMillis(500));
+        assertThat(session.running(JOB_ID)).isEmpty();
+        silent.setUnresponsive(false);
+        session.advance(MAX_WAIT);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    @Test
+    void smallTaskStartsThoughManyLargerOnesWait() {
+        for (int i = 3; i <= 20; i++) {
+            session.addWorker("w" + i, 4_000);
+        }
+        session.advance(Duration.ofSeconds(2));
+        submit("00000000000000dd", CellSession.job(20, 2_400, true));
+        session.advance(Duration.ofMillis(300));
+        for (int i = 0; i < 6; i++) {
+            submit("00000000000000a" + i, CellSession.job(1, 1_700, true));
+        }
+        session.advance(Duration.ofMillis(300));
+        submit(JOB_ID, CellSession.job(4, 1_000, true));
+        session.advance(MAX_WAIT);
+        assertThat(session.running(JOB_ID)).hasSize(4);
+    }
+
+    @Test
+    void workerThatLeavesStopsUnansweredDoesNotKeepATaskWaiting() {
+        submit(OTHER_JOB_ID, CellSession.job(8, 1_000, false));
+        session.advance(Duration.ofMillis(300));
+        session.worker("w1").setStopsLost(true);
+        submit(JOB_ID, CellSession.job(1, 3_000, true));
+        session.advance(Duration.ofMillis(8_300));
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = CellSession.step(count, milliCores, true, List.of());
         return new StepSpec(
