Identify the former owner only from changes that the watch showed

A process that lost the answer to its claim reads its own record from the store, ahead of its watch. An owner between the last one that the watch showed and this process was then overlooked, and the successor asked the wrong process whether it had stopped; the overlooked one, cut off from the store, may extend leases for 4 s. Callers could see one task run twice. Change: this process's own record counts only if the watch or a list showed it. Conclusion: a former owner that isn't certain is unknown, and the successor waits for the full time.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -58,6 +58,9 @@
 
     private Instant confirmedAt = Instant.MIN;
 
+    /** Whether an entry is being applied that was read and not shown by the watch. */
+    private boolean readAhead;
+
     private Duration roundTrip = Duration.ofMillis(50);
 
     private boolean campaignRunning;
@@ -186,11 +189,18 @@
         }
     }
 
+    /** Applies an entry that was read, before the watch has shown the changes up to it. */
+    private void observe(KeyValueEntry entry) {
+        readAhead = true;
+        watcher.observe(entry);
+        readAhead = false;
+    }
+
     /** Reads the owner's key until the store answers, and campaigns if the key is absent. */
     private void readOwner() {
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), result -> {
             if (result instanceof KeyValueResult.Found found) {
-                watcher.observe(found.entry());
+                observe(found.entry());
             } else if (result instanceof KeyValueResult.Missing) {
                 campaignIfVacant();
             } else {
@@ -236,7 +246,7 @@
 
     private void recordSighting(KeyValueEntry entry) {
         if (!entry.deleted()) {
-            formerOwnerTracker.record(entry, watcher.completeLists(), context.now());
+            formerOwnerTracker.record(entry, readAhead, watcher.completeLists(), context.now());
             reportFormerOwner();
         }
     }
@@ -304,7 +314,7 @@
         if (result instanceof KeyValueResult.ConditionFailed conflict) {
             campaignRunning = false;
             revokeLease();
-            conflict.actual().forEach(watcher::observe);
+            conflict.actual().forEach(this::observe);
             return;
         }
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
@@ -318,7 +328,7 @@
                 becomeOwner(found.entry().version(), sentAt);
                 return;
             }
-            watcher.observe(found.entry());
+            observe(found.entry());
         }
         revokeLease();
         retryCampaign("the store did not confirm the claim");
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwnerTracker.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwnerTracker.java
@@ -26,12 +26,13 @@
     /**
      * Records an entry with an owner's record.
      *
+     * @param readAhead whether the entry was read before the watch has shown all changes up to it
      * @param completeLists how often all keys have been read instead of their changes
      */
-    void record(KeyValueEntry entry, int completeLists, Instant now) {
+    void record(KeyValueEntry entry, boolean readAhead, int completeLists, Instant now) {
         OwnerRecord owner = JsonCodec.compact().decode(entry.value(), OwnerRecord.class);
         if (owner.process().equals(self.process())) {
-            ownVersion = entry.version();
+            ownVersion = readAhead ? 0 : entry.version();
             ownLists = completeLists;
         } else {
             lastOther = new FormerOwner(owner, now);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -20,6 +20,8 @@
 
     private static final OwnerRecord OTHER = new OwnerRecord(new ProcessId("h2.1"), "h2:1", 1);
 
+    private static final OwnerRecord THIRD = new OwnerRecord(new ProcessId("h3.1"), "h3:1", 1);
+
     private static final Duration LONGEST_CAMPAIGN_DELAY = Duration.ofSeconds(2);
 
     private final ScriptedStore store = new ScriptedStore();
@@ -154,10 +156,37 @@
         assertThat(listener.formerOwner).isNull();
     }
 
+    @Test
+    void formerOwnerIsUnknownIfOwnRecordWasReadBeforeTheWatchShowedAnIntermediateOwner() {
+        grantLease();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(11));
+        watch(entry(SELF, 11));
+        election.stepDown("unexpected error");
+        store.advance(Duration.ofMillis(300));
+        store.fail(KeyValueRequest.Get.class);
+        watch(deletion(12));
+        watch(entry(OTHER, 14));
+        watch(deletion(15));
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        grantLease();
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(entry(SELF, 20)));
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(20));
+        watch(entry(THIRD, 16));
+        assertThat(election.owning()).isTrue();
+        assertThat(listener.formerOwner).isNull();
+    }
+
+    private void watch(KeyValueEntry entry) {
+        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry), entry.version(), false));
+    }
+
+    private static KeyValueEntry deletion(long version) {
+        return new KeyValueEntry(CellKeys.OWNER, null, version);
+    }
+
     private void showOtherOwnerAndItsEnd() {
-        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry(OTHER, 11)), 11, false));
-        KeyValueEntry deletion = new KeyValueEntry(CellKeys.OWNER, null, 12);
-        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(deletion), 12, false));
+        watch(entry(OTHER, 11));
+        watch(deletion(12));
     }
 
     private void grantLease() {
