End the runs of a worker when another one answers at its address

The owner compared nothing but ids, so the runs of the former worker ended only with its lease, 6.2 s after the crash, and on a worker that a successor never saw only 10.4 s after the election. Ruled out: a slow poll (the poller logs worker_silent within milliseconds), and the entry in the store as a proof (entries lag, and others may write them).

Change: a worker's state keeps the address at which it last answered. A call names the instance that it expects, so an answer to a call sent after the last answer of another worker at that address proves that the other process has ended: its started runs end at once ("worker replaced"), and it is no longer used. Silence, a cut and a lapse of the lease prove nothing, as before. Address and incarnation are stored beside the worker in the record of an open run, so that a successor recognises the replacement of a worker that it never saw; records without them are read as before.

Conclusion: no task starts while its former process could still run: the address belongs to one process at a time, and orders to the former id are refused by the new one.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -84,7 +84,9 @@
             task.step().incrementDoneCount();
         } else if (record.worker() != null) {
             WorkerState worker = workerRegistry.worker(record.worker());
+            worker.restoreAddress(record.address());
             Run run = task.restoreRun(worker, record.run(), now);
+            run.restoreWorkerIncarnation(record.incarnation());
             worker.add(run);
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -30,6 +30,9 @@
 
     private final Instant placedAt;
 
+    /** The incarnation of the worker when the run was placed, 0 if it is not known. */
+    private long workerIncarnation;
+
     private RunPhase phase;
 
     private Instant phaseSince;
@@ -83,6 +86,7 @@
         this.worker = worker;
         this.number = number;
         this.placedAt = placedAt;
+        this.workerIncarnation = worker.incarnation();
         this.phase = RunPhase.PLANNED;
         this.phaseSince = placedAt;
         this.retryAt = placedAt;
@@ -105,6 +109,14 @@
         return placedAt;
     }
 
+    long workerIncarnation() {
+        return workerIncarnation;
+    }
+
+    void restoreWorkerIncarnation(long incarnation) {
+        workerIncarnation = incarnation;
+    }
+
     /** Releases the resources reserved on the worker and removes this run from its task. */
     void release(Instant now) {
         worker.remove(this, now);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
@@ -13,6 +13,8 @@
  * @param done whether the task is done
  * @param run the number of its last run
  * @param worker the worker of that run, null if the run has ended
+ * @param address the address of that worker, null if the run has ended or the worker has never answered
+ * @param incarnation the incarnation of that worker, 0 if the run has ended or it is not known
  * @param failedRuns the numbers of the runs that failed
  * @param checkpoint the checkpoint to resume from, null to start from the beginning
  */
@@ -24,6 +26,8 @@
         boolean done,
         int run,
         WorkerId worker,
+        String address,
+        long incarnation,
         List<Integer> failedRuns,
         String checkpoint) {
 
@@ -32,13 +36,16 @@
     }
 
     static TaskRecord of(Task task) {
+        Run run = task.run();
         return new TaskRecord(
                 task.ref().occurrence(),
                 task.ref().step(),
                 task.ref().index(),
                 task.done(),
                 task.lastRunNumber(),
-                task.run() == null ? null : task.run().worker().id(),
+                run == null ? null : run.worker().id(),
+                run == null ? null : run.worker().address(),
+                run == null ? 0 : run.workerIncarnation(),
                 task.failedRuns().isEmpty() ? null : List.copyOf(task.failedRuns()),
                 task.checkpoint().isEmpty() ? null : task.checkpoint());
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
@@ -13,6 +14,7 @@
 import org.flamingopitch.scheduler.cell.port.OrderRejection;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
+import org.flamingopitch.scheduler.cell.port.WorkerTarget;
 
 /**
  * Polls one worker, one call at a time; each call extends its lease, acknowledges ends of runs and returns its runs.
@@ -54,6 +56,9 @@
 
     private final RunListener listener;
 
+    /** Receives the worker and the time of the call after each report. */
+    private final BiConsumer<WorkerState, Instant> reportHandler;
+
     private boolean callInFlight;
 
     private Instant nextAt = Instant.MIN;
@@ -63,12 +68,18 @@
     private int failures;
 
     WorkerPoller(
-            CellContext context, WorkerState worker, long fencingToken, Duration leaseDuration, RunListener listener) {
+            CellContext context,
+            WorkerState worker,
+            long fencingToken,
+            Duration leaseDuration,
+            RunListener listener,
+            BiConsumer<WorkerState, Instant> reportHandler) {
         this.context = context;
         this.worker = worker;
         this.fencingToken = fencingToken;
         this.leaseDuration = leaseDuration;
         this.listener = listener;
+        this.reportHandler = reportHandler;
     }
 
     WorkerState worker() {
@@ -128,7 +139,13 @@
         WorkerOrder order = new WorkerOrder.Hold(
                 leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout() : Duration.ZERO);
         long incarnation = worker.incarnation();
-        context.callWorker(worker.target(), order, answer -> handleAnswer(answer, acknowledged, incarnation, now));
+        WorkerTarget target = worker.target();
+        context.callWorker(target, order, answer -> {
+            if (answer instanceof WorkerAnswer.Report) {
+                worker.recordAddress(target.address());
+            }
+            handleAnswer(answer, acknowledged, incarnation, now);
+        });
     }
 
     private Duration longPollTimeout() {
@@ -199,6 +216,7 @@
             listener.onWorkersChanged();
         }
         listener.onReportApplied(worker);
+        reportHandler.accept(worker, sentAt);
     }
 
     private void applyRunning(RunReport running, Set<Run> reportedRuns, Instant now) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +54,9 @@
 
     private final Map<WorkerId, WorkerPoller> pollers = new LinkedHashMap<>();
 
+    /** The worker that last answered at an address. */
+    private final Map<String, WorkerState> addressHolders = new HashMap<>();
+
     private boolean listed;
 
     private boolean closed;
@@ -108,6 +112,7 @@
         return worker.registered()
                 && !worker.draining()
                 && !worker.hasUnknownRuns()
+                && !worker.replaced()
                 && !worker.missingFor(MISSING_GRACE_PERIOD, now)
                 && answering(worker);
     }
@@ -152,25 +157,63 @@
         if (worker.runs().isEmpty() || now.isBefore(worker.latestLeaseExpiry())) {
             return;
         }
-        for (Run run : List.copyOf(worker.runs())) {
-            if (run.phase() != RunPhase.PLANNED) {
-                listener.onRunTerminated(run, "worker lease expired");
-            }
-        }
+        endStartedRuns(worker, "worker lease expired");
         if (!worker.leaseExpired()) {
             worker.markLeaseExpired();
             LOGGER.atWarning().log("event=worker_lapsed worker=%s", worker.id());
         }
     }
 
+    private void endStartedRuns(WorkerState worker, String cause) {
+        for (Run run : List.copyOf(worker.runs())) {
+            if (run.phase() != RunPhase.PLANNED) {
+                listener.onRunTerminated(run, cause);
+            }
+        }
+    }
+
     private void removeIfMissing(WorkerState worker, Instant now) {
         boolean missing = !worker.registered() || worker.missingFor(REMOVAL_DELAY, now);
         if (missing && worker.runs().isEmpty()) {
             workers.remove(worker.id());
             pollers.remove(worker.id());
+            addressHolders.remove(worker.address(), worker);
         }
     }
 
+    /**
+     * Ends the runs of the former workers at a worker's address. An address belongs to one process at a time, so a worker
+     * that answers a call sent after the last answer of another worker there proves that the other one has ended.
+     *
+     * @param sentAt when the call was sent that the worker answered
+     */
+    private void endFormerWorkers(WorkerState worker, Instant sentAt) {
+        if (addressHolders.get(worker.address()) == worker) {
+            return;
+        }
+        boolean allEnded = true;
+        for (WorkerState former : List.copyOf(workers.values())) {
+            if (former == worker || former.replaced() || !worker.address().equals(former.address())) {
+                continue;
+            }
+            if (former.answeredSince(sentAt)) {
+                allEnded = false;
+            } else {
+                endReplaced(former, worker);
+            }
+        }
+        if (allEnded) {
+            addressHolders.put(worker.address(), worker);
+        }
+    }
+
+    private void endReplaced(WorkerState former, WorkerState successor) {
+        former.markReplaced();
+        LOGGER.atWarning().log(
+                "event=worker_replaced worker=%s by=%s address=%s", former.id(), successor.id(), successor.address());
+        endStartedRuns(former, "worker replaced");
+    }
+
     private void listWorkers() {
         if (closed) {
             return;
@@ -212,7 +255,8 @@
         WorkerEntry previous = worker.entry();
         worker.register(entry);
         WorkerPoller poller = pollers.computeIfAbsent(
-                worker.id(), id -> new WorkerPoller(context, worker, fencingToken, leaseDuration, listener));
+                worker.id(),
+                id -> new WorkerPoller(context, worker, fencingToken, leaseDuration, listener, this::endFormerWorkers));
         boolean changed = previous == null
                 || previous.draining() != entry.draining()
                 || previous.incarnation() != entry.incarnation()
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -39,6 +39,12 @@
     /** When the worker was first absent from the listing; null while it is listed. */
     private Instant missingSince;
 
+    /** The address at which the worker last answered, or was recorded by a former owner; null if it never did. */
+    private String address;
+
+    /** Whether another worker has answered at this worker's address since, so that this one has ended. */
+    private boolean replaced;
+
     /** When the present incarnation of the worker started, in milliseconds since 1970. */
     private long incarnation;
 
@@ -105,6 +111,36 @@
         return new WorkerTarget(id, entry.address());
     }
 
+    String address() {
+        return address;
+    }
+
+    /** Records that the worker answered at an address. */
+    void recordAddress(String newAddress) {
+        address = newAddress;
+        replaced = false;
+    }
+
+    /** Restores the address that a former owner recorded; it holds until the worker answers. */
+    void restoreAddress(String recordedAddress) {
+        if (!hasReported) {
+            address = recordedAddress;
+        }
+    }
+
+    /** Returns whether the worker answered at or after a moment. */
+    boolean answeredSince(Instant moment) {
+        return clockAt != null && !clockAt.isBefore(moment);
+    }
+
+    boolean replaced() {
+        return replaced;
+    }
+
+    void markReplaced() {
+        replaced = true;
+    }
+
     void register(WorkerEntry newEntry) {
         entry = newEntry;
         missingSince = null;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -127,7 +127,19 @@
      * @return the worker
      */
     public FakeWorker addWorker(String name, long milliCores) {
-        FakeWorker worker = new FakeWorker(name, milliCores);
+        return addWorker(name, name + ":1", milliCores);
+    }
+
+    /**
+     * Adds a worker at an address, which a former worker may have had.
+     *
+     * @param name its name
+     * @param address its address
+     * @param milliCores its processor time in thousandths of a core
+     * @return the worker
+     */
+    public FakeWorker addWorker(String name, String address, long milliCores) {
+        FakeWorker worker = new FakeWorker(name, address, milliCores);
         workers.put(name, worker);
         return worker;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
@@ -21,10 +22,14 @@
 /** A simulated worker with fencing tokens, leases and numbered run ends; it records the runs that it has started. */
 public final class FakeWorker {
 
+    private static final long CRASH_DELAY_MILLIS = 10;
+
     private final String name;
 
     private final Resources capacity;
 
+    private final String address;
+
     private final Map<TaskRef, Integer> running = new LinkedHashMap<>();
 
     private final Map<TaskRef, Integer> highestRuns = new LinkedHashMap<>();
@@ -49,17 +54,59 @@
 
     private boolean draining;
 
+    private Predicate<TaskRef> deadlyTasks = task -> false;
+
+    private long crashAtMillis = Long.MAX_VALUE;
+
+    private boolean crashed;
+
     /**
      * Creates a worker.
      *
      * @param name its name
+     * @param address its address, which a worker that replaces it takes over
      * @param milliCores its processor time in thousandths of a core
      */
-    public FakeWorker(String name, long milliCores) {
+    public FakeWorker(String name, String address, long milliCores) {
         this.name = name;
+        this.address = address;
         this.capacity = new Resources(milliCores, 100_000, 0);
     }
 
+    /**
+     * Sets which tasks crash the worker 10 ms after their start.
+     *
+     * @param tasks the tasks
+     */
+    public void setDeadlyTasks(Predicate<TaskRef> tasks) {
+        deadlyTasks = tasks;
+    }
+
+    /** Ends the worker's process with all its runs; orders are lost until it is restarted or replaced. */
+    public void crash() {
+        crashed = true;
+        crashAtMillis = Long.MAX_VALUE;
+        running.clear();
+    }
+
+    /**
+     * Returns whether the worker's process has ended.
+     *
+     * @return whether it has ended
+     */
+    public boolean crashed() {
+        return crashed;
+    }
+
+    /**
+     * Returns the address.
+     *
+     * @return the address
+     */
+    public String address() {
+        return address;
+    }
+
     /**
      * Sets whether all orders are lost, without effect or answer. Started runs continue until the worker's lease ends.
      *
@@ -99,6 +146,7 @@
     /** Restarts the worker as a new incarnation under the same name, without its runs and its fencing token. */
     public void restart() {
         incarnation++;
+        crashed = false;
         running.clear();
         highestRuns.clear();
         ended.clear();
@@ -156,7 +204,7 @@
         return new WorkerEntry(
                 new WorkerId(name),
                 incarnation,
-                "127.0.0.1:1",
+                address,
                 new ServiceName("pool"),
                 "dc",
                 draining,
@@ -172,6 +220,9 @@
      * @param clockMillis the time of the worker's clock in milliseconds
      */
     public void advance(long clockMillis) {
+        if (clockMillis >= crashAtMillis) {
+            crash();
+        }
         if (clockMillis >= leaseEndMillis) {
             List.copyOf(running.keySet()).forEach(task -> end(task, EndKind.LAPSED));
         }
@@ -187,7 +238,7 @@
     public WorkerAnswer apply(WorkerOrder order, long clockMillis) {
         boolean lost =
                 startsLost && order instanceof WorkerOrder.Start || stopsLost && order instanceof WorkerOrder.Stop;
-        if (unresponsive || lost) {
+        if (unresponsive || crashed || lost) {
             return new WorkerAnswer.Lost(new Failure("worker", name, "no answer in time"));
         }
         if (order.fence() < fencingToken) {
@@ -224,6 +275,9 @@
         highestRuns.put(start.task(), start.run());
         running.put(start.task(), start.run());
         started.add(start.task() + "/" + start.run());
+        if (deadlyTasks.test(start.task())) {
+            crashAtMillis = clockMillis + CRASH_DELAY_MILLIS;
+        }
         return new WorkerAnswer.Done(clockMillis);
     }
 }
