Give up a task under which three workers have crashed

When a lease expired, RunManager.onRunTerminated rescheduled at once and counted nothing, and no observation told a crash from a cut. Ruled out: the failed attempts of the queue (a crash is no end `failed`), and lost starts (each was recorded).

CrashAttribution counts it, once a run, under the tasks whose run no report had listed 2 s after its start; a proven run or an end as done clears the task. From the second crash on a task starts only where no other young run is, and nothing starts beside it until it is proven; IsolationPlanner reserves a worker for it in a full cell, at most one in ten. At the third crash the job ends as failed, also a long-running one. The counts are stored with the task. RunMover is cut out of RunManager unchanged.

Unlike first planned, a single crash isolates no task, it only makes free workers preferred: one loss of power makes all young tasks suspects, and they would start one a worker.

An owner that dies between a lapse and the proof hides that crash from the count.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -224,7 +224,7 @@
             Job job = JobTable.restore(id, record, progress.get(id), workerRegistry, context.now(), timeOfDayMillis);
             configuration.queue(job.queue().name()).ifPresent(job::updateQueue);
             jobs.add(job);
-            runManager.averageJobWork().add(job.queue().name(), job.spec());
+            runManager.onJobRestored(job);
         });
         commitLog = new CommitLog(
                 context, fencingToken, ledgerVersion, runManager::learnedStatistics, new CommitListener());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -78,6 +78,8 @@
         job.markStarted();
         task.restoreLastRunNumber(record.run());
         task.failedRuns().addAll(record.failedRuns());
+        record.crashedRuns().forEach(number -> task.addCrash(number, true));
+        record.possiblyCrashedRuns().forEach(number -> task.addCrash(number, false));
         task.updateCheckpoint(record.checkpoint());
         if (record.done()) {
             task.markDone();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
@@ -27,6 +27,12 @@
 
     private int latencyCriticalTasks;
 
+    private boolean hasUnprovenRuns;
+
+    private boolean hasSuspects;
+
+    private boolean hasIsolatedRun;
+
     private List<LatencyHeadroom> headrooms;
 
     PlacementCandidate(WorkerState worker, InterferenceEstimator interference, Instant now) {
@@ -43,11 +49,34 @@
         idleLatencyCriticalMilliCores = InterferenceEstimator.idleLatencyCriticalMilliCores(worker);
         headrooms = interference.estimateHeadrooms(worker, now);
         latencyCriticalTasks = 0;
+        hasUnprovenRuns = false;
+        hasSuspects = false;
+        hasIsolatedRun = false;
         for (Run run : worker.runs()) {
             latencyCriticalTasks += run.task().step().spec().latencyCritical() ? 1 : 0;
+            hasUnprovenRuns |= !run.proven();
+            hasSuspects |= run.task().suspect();
+            hasIsolatedRun |= run.task().needsIsolation();
         }
     }
 
+    /**
+     * Returns whether the task may be placed beside the runs there: one that needs isolation only beside proven runs, and
+     * none beside one that needs it.
+     */
+    boolean admits(Task task) {
+        return !hasIsolatedRun && !(task.needsIsolation() && hasUnprovenRuns);
+    }
+
+    /** Returns whether the task or one there may crash the worker, and others there with it. */
+    boolean endangers(Task task) {
+        return hasSuspects || task.suspect() && hasUnprovenRuns;
+    }
+
+    int runCount() {
+        return worker.runs().size();
+    }
+
     WorkerState worker() {
         return worker;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -58,10 +58,12 @@
             for (int i = 0; i < scores.length; i++) {
                 WorkerState worker = candidates.get(i).worker();
                 Task reservedFor = worker.reservedFor(now);
-                if (scores[i] <= bestScore || reservedFor != null && reservedFor != task) {
+                if (scores[i] <= bestScore
+                        || reservedFor != null && reservedFor != task
+                        || !candidates.get(i).admits(task)) {
                     continue;
                 }
-                double score = task.avoids(worker.id()) ? scores[i] - PlacementPolicy.LAST_RESORT_PENALTY : scores[i];
+                double score = scores[i] - PlacementPolicy.penalty(task, candidates.get(i));
                 if (score > bestScore) {
                     bestIndex = i;
                     bestScore = score;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -25,6 +25,9 @@
     /** A worker whose tasks take more than this many times the expected duration gets a penalty. */
     private static final double SLOW_WORKER_RATIO = 2.5;
 
+    /** Deducted for each run beside a task that may crash the worker; exceeds differences in free capacity. */
+    private static final double SUSPECT_NEIGHBOUR_PENALTY = 1e6;
+
     /** Exceeds the largest score difference that comes from packing long-running tasks. */
     private static final double SAME_IMAGE_WEIGHT = 1e6;
 
@@ -104,6 +107,19 @@
         return score - penalty(step, worker);
     }
 
+    /** Returns what is deducted from a worker's score because of the task's earlier runs. */
+    static double penalty(Task task, PlacementCandidate candidate) {
+        double penalty = task.avoids(candidate.worker().id()) ? LAST_RESORT_PENALTY : 0;
+        if (candidate.endangers(task)) {
+            penalty += LAST_RESORT_PENALTY / 2;
+        }
+        if (task.suspect()) {
+            penalty += candidate.hasLatencyCriticalTasks() ? LAST_RESORT_PENALTY / 4 : 0;
+            penalty += candidate.runCount() * SUSPECT_NEIGHBOUR_PENALTY;
+        }
+        return penalty;
+    }
+
     private double penalty(Step step, WorkerState worker) {
         StepSpec spec = step.spec();
         double penalty = 0;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -37,6 +37,15 @@
 
     private Instant phaseSince;
 
+    /** When the first start order was sent; null before. */
+    private Instant startedAt;
+
+    /** Whether the worker is known to have had the run, or a former owner recorded it there. */
+    private boolean confirmed;
+
+    /** Whether a report has listed the run {@link CrashAttribution#SUSPICION_TIME} after its start. */
+    private boolean proven;
+
     private boolean recorded;
 
     /**
@@ -109,6 +118,19 @@
         return placedAt;
     }
 
+    /** Returns whether the run has been at work so long that it does not crash its worker. */
+    boolean proven() {
+        return proven;
+    }
+
+    boolean confirmed() {
+        return confirmed;
+    }
+
+    void markConfirmed() {
+        confirmed = true;
+    }
+
     long workerIncarnation() {
         return workerIncarnation;
     }
@@ -135,6 +157,10 @@
     /** Enters a phase; its first order is due at once. */
     void enterPhase(RunPhase next, Instant now) {
         phase = next;
+        confirmed |= next == RunPhase.RUNNING;
+        if (startedAt == null && next == RunPhase.SENT) {
+            startedAt = now;
+        }
         phaseSince = now;
         unansweredOrders = 0;
         retryAt = Instant.MIN;
@@ -201,6 +227,8 @@
 
     /** Records the progress and the measurement of a worker's report. */
     void observe(double newProgressPercent, double newMeasurement, Instant now) {
+        confirmed = true;
+        proven |= startedAt != null && !now.isBefore(startedAt.plus(CrashAttribution.SUSPICION_TIME));
         if (newProgressPercent > progressPercent || throttledToPercent == 0) {
             progressAt = now;
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.util.List;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 
@@ -16,6 +17,18 @@
     /** Called when a run is known to have terminated without a reported end. */
     void onRunTerminated(Run run, String cause);
 
+    /**
+     * Called when the runs of a silent worker have ended with its lease; the worker may have crashed, or be cut off.
+     */
+    void onWorkerLapsed(WorkerState worker, List<Run> runs);
+
+    /**
+     * Called when the process of a worker is known to have ended.
+     *
+     * @param runs the runs that have ended with it
+     */
+    void onWorkerCrashed(WorkerState worker, List<Run> runs);
+
     /**
      * Called when a start failed and is known not to take effect later.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -25,14 +25,6 @@
 
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-    /**
-     * A run is stalled if it is overdue by this time (it took twice the expected duration and this time) and has made
-     * no progress for this time.
-     */
-    private static final Duration STALL_TIMEOUT = Duration.ofMillis(2_500);
-
-    private static final int FULL_SPEED_PERCENT = 100;
-
     private final CellContext context;
 
     private final CellTimings timings;
@@ -49,6 +41,8 @@
 
     private final InterferenceEstimator interference = new InterferenceEstimator();
 
+    private final CrashAttribution crashAttribution = new CrashAttribution();
+
     private final TaskPlacer placer;
 
     private final DurationEstimates estimates = new DurationEstimates();
@@ -66,6 +60,8 @@
 
     private WorkerRegistry workerRegistry;
 
+    private RunMover runMover;
+
     private Instant lastTickAt = Instant.MIN;
 
     RunManager(
@@ -81,8 +77,8 @@
         this.newerFencingTokenHandler = newerFencingTokenHandler;
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
-        this.placer =
-                new TaskPlacer(context, jobs, new PlacementPolicy(health, interference), orderSender, health, order);
+        PlacementPolicy policy = new PlacementPolicy(health, interference);
+        this.placer = new TaskPlacer(context, jobs, policy, orderSender, health, order, crashAttribution);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
 
@@ -94,6 +90,7 @@
     void startPlacing(CommitLog newCommitLog, WorkerRegistry newWorkerRegistry, BooleanSupplier mayActNow) {
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
+        runMover = new RunMover(orderSender, newWorkerRegistry, estimates, health);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
 
@@ -127,6 +124,12 @@
         interference.restore(record.responses());
     }
 
+    /** Takes note of a job that was restored from its records. */
+    void onJobRestored(Job job) {
+        averageJobWork.add(job.queue().name(), job.spec());
+        crashAttribution.restore(job);
+    }
+
     /** Requests a placement pass over the waiting tasks. */
     void requestPlacement() {
         placer.requestPass();
@@ -191,7 +194,7 @@
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
             for (Run run : List.copyOf(worker.runs())) {
                 orderSender.repeatOrderIfDue(run);
-                moveIfDrainingOrStalled(run, now);
+                runMover.moveIfDrainingOrStalled(run, now);
             }
         }
         for (Job job : List.copyOf(jobs.all())) {
@@ -206,36 +209,6 @@
         }
     }
 
-    /** Stops a run so that its task is placed on another worker: its worker drains, or it is stalled. */
-    private void moveIfDrainingOrStalled(Run run, Instant now) {
-        if (run.phase() != RunPhase.RUNNING || !run.task().job().open()) {
-            return;
-        }
-        boolean longRunning = run.task().step().spec().lasting();
-        if (run.worker().draining() && longRunning) {
-            LOGGER.atInfo().log(
-                    "event=evacuated task=%s run=%d worker=%s",
-                    run.task().ref(), run.number(), run.worker().id());
-            orderSender.stop(run);
-            return;
-        }
-        Duration expected = Duration.ofMillis(2
-                * estimates.expectedMillis(
-                        run.task().job().queue().name(),
-                        run.task().step().spec().estimateMillis()));
-        boolean overdue = now.isAfter(run.placedAt().plus(expected).plus(STALL_TIMEOUT));
-        boolean stalled = now.isAfter(run.progressAt().plus(STALL_TIMEOUT)) && workerRegistry.answering(run.worker());
-        boolean throttled = run.throttledToPercent() != FULL_SPEED_PERCENT;
-        if (!longRunning && overdue && stalled && !throttled) {
-            LOGGER.atWarning().log(
-                    "event=stalled task=%s run=%d worker=%s percent=%.0f",
-                    run.task().ref(), run.number(), run.worker().id(), run.progressPercent());
-            run.task().avoid(run.worker().id());
-            health.quarantine(run.worker().id(), now);
-            orderSender.stop(run);
-        }
-    }
-
     @Override
     public void onOrderOutcomeKnown(Run run) {
         if (run.phase() == RunPhase.STOPPING) {
@@ -271,6 +244,28 @@
         reschedule(run, Duration.ZERO);
     }
 
+    @Override
+    public void onWorkerLapsed(WorkerState worker, List<Run> runs) {
+        crashAttribution.recordLapse(worker, runs, context.now());
+    }
+
+    @Override
+    public void onWorkerCrashed(WorkerState worker, List<Run> runs) {
+        for (Run run : crashAttribution.recordCrash(worker, runs)) {
+            Task task = run.task();
+            int crashes = task.crashCount();
+            LOGGER.atWarning().log(
+                    "event=worker_crashed worker=%s task=%s run=%d crashes=%d",
+                    worker.id(), task.ref(), run.number(), crashes);
+            commitLog.write(task.job(), false, null);
+            if (CrashAttribution.exhausted(task) && task.job().open()) {
+                LOGGER.atWarning().log(
+                        "event=job_failed job=%s task=%s crashes=%d", task.job().id(), task.ref(), crashes);
+                endJob(task.job(), JobState.FAILED);
+            }
+        }
+    }
+
     private void reschedule(Run run, Duration delay) {
         Task task = run.task();
         run.release(context.now());
@@ -386,6 +381,10 @@
 
     @Override
     public void onReportApplied(WorkerState worker) {
+        for (Task cleared : crashAttribution.clear(worker)) {
+            commitLog.write(cleared.job(), false, null);
+            placer.requestPass();
+        }
         interference.update(worker, context.now());
         throttleController.adjustThrottling(worker, context.now());
         worker.setNeedsFrequentPolling(interference.isTargetAtRisk(worker, context.now()));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -6,7 +6,10 @@
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.model.WorkerId;
 
-/** A task of an open job: its present run, the number of its last run, the runs that failed and its checkpoint. */
+/**
+ * A task of an open job: its present run, the number of its last run, the runs that failed, the runs under
+ * which a worker crashed, and its checkpoint.
+ */
 final class Task {
 
     private final Step step;
@@ -15,6 +18,12 @@
 
     private final List<Integer> failedRuns = new ArrayList<>();
 
+    /** Runs under which a worker crashed, since the last run that was proven. */
+    private final List<Integer> crashedRuns = new ArrayList<>();
+
+    /** Runs whose worker crashed without a sign that it had started them, since the last run that was proven. */
+    private final List<Integer> possiblyCrashedRuns = new ArrayList<>();
+
     /** Workers on which the task failed, stalled or was not started. */
     private final List<WorkerId> avoidedWorkers = new ArrayList<>();
 
@@ -51,6 +60,7 @@
 
     void markDone() {
         done = true;
+        clearCrashes();
         checkpoint = "";
     }
 
@@ -58,8 +68,20 @@
         return run;
     }
 
-    /** Returns whether the task may be placed now: it has no run, is not done, and its retry delay is over. */
+    /**
+     * Returns whether the task may be placed on any worker now: it has no run, is not done, needs no isolation, and its
+     * retry delay is over.
+     */
     boolean waiting(Instant now) {
+        return readyForRun(now) && !needsIsolation();
+    }
+
+    /** Returns whether the task may be placed now, but only in isolation. */
+    boolean awaitsIsolation(Instant now) {
+        return readyForRun(now) && needsIsolation();
+    }
+
+    private boolean readyForRun(Instant now) {
         return !done && run == null && !now.isBefore(retryNotBefore);
     }
 
@@ -85,6 +107,7 @@
         run = new Run(this, worker, number, now);
         run.enterPhase(RunPhase.SENT, now);
         run.setOrderOutcomeKnown(Instant.MIN);
+        run.markConfirmed();
         return run;
     }
 
@@ -111,6 +134,47 @@
         avoid(worker);
     }
 
+    List<Integer> crashedRuns() {
+        return crashedRuns;
+    }
+
+    List<Integer> possiblyCrashedRuns() {
+        return possiblyCrashedRuns;
+    }
+
+    /**
+     * Records that a worker crashed after a run was ordered from it.
+     *
+     * @param confirmed whether the worker is known to have had the run
+     * @return whether this was not recorded before
+     */
+    boolean addCrash(int number, boolean confirmed) {
+        if (crashedRuns.contains(number) || possiblyCrashedRuns.contains(number)) {
+            return false;
+        }
+        return (confirmed ? crashedRuns : possiblyCrashedRuns).add(number);
+    }
+
+    void clearCrashes() {
+        crashedRuns.clear();
+        possiblyCrashedRuns.clear();
+    }
+
+    /** Returns how many workers may have crashed under the task since its last run that was proven. */
+    int crashCount() {
+        return crashedRuns.size() + possiblyCrashedRuns.size();
+    }
+
+    /** Returns whether the task may have crashed a worker. */
+    boolean suspect() {
+        return crashCount() > 0;
+    }
+
+    /** Returns whether the task may be started only where no other task can crash the worker. */
+    boolean needsIsolation() {
+        return CrashAttribution.needsIsolation(this);
+    }
+
     void avoid(WorkerId worker) {
         if (!avoidedWorkers.contains(worker)) {
             avoidedWorkers.add(worker);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -22,6 +22,9 @@
      */
     private static final Duration MIN_PASS_INTERVAL = Duration.ofMillis(25);
 
+    /** Time between attempts to find a worker for a task in isolation, as proven runs request no pass. */
+    private static final Duration ISOLATION_RETRY_DELAY = Duration.ofMillis(250);
+
     private final CellContext context;
 
     private final JobTable jobs;
@@ -36,6 +39,10 @@
 
     private final JobQueueOrder queueOrder;
 
+    private final CrashAttribution crashAttribution;
+
+    private final IsolationPlanner isolationPlanner;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -44,6 +51,8 @@
 
     private boolean passRequested;
 
+    private boolean isolationRetryScheduled;
+
     private Instant lastPassAt = Instant.MIN;
 
     TaskPlacer(
@@ -52,13 +61,16 @@
             PlacementPolicy placementPolicy,
             WorkerOrderSender orderSender,
             WorkerHealth health,
-            JobQueueOrder queueOrder) {
+            JobQueueOrder queueOrder,
+            CrashAttribution crashAttribution) {
         this.context = context;
         this.jobs = jobs;
         this.placementPolicy = placementPolicy;
         this.orderSender = orderSender;
         this.health = health;
         this.queueOrder = queueOrder;
+        this.crashAttribution = crashAttribution;
+        this.isolationPlanner = new IsolationPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
 
@@ -95,6 +107,7 @@
         }
         FailedPlacements failures = new FailedPlacements();
         PlacementPass pass = placementPolicy.startPass(workerRegistry.workers(), worker -> usable(worker, now), now);
+        placeInIsolation(pass, now);
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
@@ -141,15 +154,42 @@
                 requestCapacity(task, now);
                 return placed;
             }
-            Run run = task.place(candidate.worker(), now);
-            candidate.worker().add(run);
+            place(task, candidate, now);
             search.onPlaced(candidate);
-            commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
             placed = true;
         }
         return placed;
     }
 
+    private void place(Task task, PlacementCandidate candidate, Instant now) {
+        Run run = task.place(candidate.worker(), now);
+        candidate.worker().add(run);
+        commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
+    }
+
+    /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
+    private void placeInIsolation(PlacementPass pass, Instant now) {
+        boolean unplaced = false;
+        for (Task task : crashAttribution.tasksAwaitingIsolation(now)) {
+            PlacementPass.Search search = pass.search(task.step());
+            PlacementCandidate candidate = search.findBest(task);
+            if (candidate == null) {
+                isolationPlanner.reserve(task, workerRegistry.workers(), worker -> usable(worker, now), now);
+                unplaced = true;
+            } else {
+                place(task, candidate, now);
+                search.onPlaced(candidate);
+            }
+        }
+        if (unplaced && !isolationRetryScheduled) {
+            isolationRetryScheduled = true;
+            context.schedule(ISOLATION_RETRY_DELAY, () -> {
+                isolationRetryScheduled = false;
+                requestPass();
+            });
+        }
+    }
+
     private void requestCapacity(Task task, Instant now) {
         if (task.step().spec().lasting()) {
             preemptionPlanner
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
@@ -16,6 +16,8 @@
  * @param address the address of that worker, null if the run has ended or the worker has never answered
  * @param incarnation the incarnation of that worker, 0 if the run has ended or it is not known
  * @param failedRuns the numbers of the runs that failed
+ * @param crashedRuns the numbers of the runs under which a worker crashed
+ * @param possiblyCrashedRuns the numbers of the runs whose worker crashed before it confirmed their start
  * @param checkpoint the checkpoint to resume from, null to start from the beginning
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
@@ -29,10 +31,14 @@
         String address,
         long incarnation,
         List<Integer> failedRuns,
+        List<Integer> crashedRuns,
+        List<Integer> possiblyCrashedRuns,
         String checkpoint) {
 
     TaskRecord {
         failedRuns = failedRuns == null ? List.of() : failedRuns;
+        crashedRuns = crashedRuns == null ? List.of() : crashedRuns;
+        possiblyCrashedRuns = possiblyCrashedRuns == null ? List.of() : possiblyCrashedRuns;
     }
 
     static TaskRecord of(Task task) {
@@ -47,6 +53,8 @@
                 run == null ? null : run.worker().address(),
                 run == null ? 0 : run.workerIncarnation(),
                 task.failedRuns().isEmpty() ? null : List.copyOf(task.failedRuns()),
+                task.crashedRuns().isEmpty() ? null : List.copyOf(task.crashedRuns()),
+                task.possiblyCrashedRuns().isEmpty() ? null : List.copyOf(task.possiblyCrashedRuns()),
                 task.checkpoint().isEmpty() ? null : task.checkpoint());
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -199,6 +199,9 @@
             }
             applyEnd(end);
         }
+        List<Run> endedWithFormerIncarnation = worker.runs().stream()
+                .filter(run -> !reportedRuns.contains(run) && startedOnFormerIncarnation(run, report.life()))
+                .toList();
         for (Run run : List.copyOf(worker.runs())) {
             boolean outcomeKnownBeforeCall = run.orderOutcomeKnownAt() != null
                     && run.orderOutcomeKnownAt().isBefore(sentAt);
@@ -206,6 +209,9 @@
                 listener.onRunTerminated(run, restarted ? "worker restarted" : "not in the worker's report");
             }
         }
+        if (restarted || !endedWithFormerIncarnation.isEmpty()) {
+            listener.onWorkerCrashed(worker, endedWithFormerIncarnation);
+        }
         boolean noEnds = report.ended().isEmpty();
         boolean active = !worker.runs().isEmpty();
         nextAt = active ? now.plus(noEnds ? Duration.ZERO : MIN_POLL_INTERVAL) : now.plus(IDLE_ACKNOWLEDGE_DELAY);
@@ -219,6 +225,15 @@
         reportHandler.accept(worker, sentAt);
     }
 
+    /** Returns whether a run was ordered from another incarnation than the present one. */
+    private static boolean startedOnFormerIncarnation(Run run, long incarnation) {
+        boolean firstOrderInFlight = run.orderInFlight() && run.unansweredOrders() == 0;
+        return run.phase() != RunPhase.PLANNED
+                && !firstOrderInFlight
+                && run.workerIncarnation() != 0
+                && run.workerIncarnation() != incarnation;
+    }
+
     private void applyRunning(RunReport running, Set<Run> reportedRuns, Instant now) {
         Run run = findRun(running.task(), running.run());
         if (run == null) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -157,19 +157,22 @@
         if (worker.runs().isEmpty() || now.isBefore(worker.latestLeaseExpiry())) {
             return;
         }
-        endStartedRuns(worker, "worker lease expired");
+        List<Run> ended = endStartedRuns(worker, "worker lease expired");
+        if (!ended.isEmpty()) {
+            listener.onWorkerLapsed(worker, ended);
+        }
         if (!worker.leaseExpired()) {
             worker.markLeaseExpired();
             LOGGER.atWarning().log("event=worker_lapsed worker=%s", worker.id());
         }
     }
 
-    private void endStartedRuns(WorkerState worker, String cause) {
-        for (Run run : List.copyOf(worker.runs())) {
-            if (run.phase() != RunPhase.PLANNED) {
-                listener.onRunTerminated(run, cause);
-            }
-        }
+    private List<Run> endStartedRuns(WorkerState worker, String cause) {
+        List<Run> started = worker.runs().stream()
+                .filter(run -> run.phase() != RunPhase.PLANNED)
+                .toList();
+        started.forEach(run -> listener.onRunTerminated(run, cause));
+        return started;
     }
 
     private void removeIfMissing(WorkerState worker, Instant now) {
@@ -211,7 +214,7 @@
         former.markReplaced();
         LOGGER.atWarning().log(
                 "event=worker_replaced worker=%s by=%s address=%s", former.id(), successor.id(), successor.address());
-        endStartedRuns(former, "worker replaced");
+        listener.onWorkerCrashed(former, endStartedRuns(former, "worker replaced"));
     }
 
     private void listWorkers() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -56,6 +56,8 @@
 
     private Predicate<TaskRef> deadlyTasks = task -> false;
 
+    private boolean crashesAtOnce;
+
     private long crashAtMillis = Long.MAX_VALUE;
 
     private boolean crashed;
@@ -82,6 +84,15 @@
         deadlyTasks = tasks;
     }
 
+    /**
+     * Sets whether deadly tasks crash the worker before it answers their start.
+     *
+     * @param atOnce whether they crash it at once
+     */
+    public void setCrashesAtOnce(boolean atOnce) {
+        crashesAtOnce = atOnce;
+    }
+
     /** Ends the worker's process with all its runs; orders are lost until it is restarted or replaced. */
     public void crash() {
         crashed = true;
@@ -276,6 +287,10 @@
         running.put(start.task(), start.run());
         started.add(start.task() + "/" + start.run());
         if (deadlyTasks.test(start.task())) {
+            if (crashesAtOnce) {
+                crash();
+                return new WorkerAnswer.Lost(new Failure("worker", name, "connection closed"));
+            }
             crashAtMillis = clockMillis + CRASH_DELAY_MILLIS;
         }
         return new WorkerAnswer.Done(clockMillis);
