Give up a task only if two crashes are under runs that had started

Change: three crashes with two of them confirmed, or five crashes.

Result: taskWithOneConfirmedCrashIsNotExhaustedByThreeUnconfirmedOnes failed before (given up at the fourth crash) and passes. CrashingTaskTest (19), CrashAttributionTest (11), TaskRecordTest (3) and WorkerReplacementTest (3) pass.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CrashAttribution.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CrashAttribution.java
@@ -21,14 +21,14 @@
     /** A run that its worker reports this long after its start has not crashed the worker. */
     static final Duration SUSPICION_TIME = Duration.ofSeconds(2);
 
-    /** Weight of a crash under a run that the worker is known to have started. */
-    private static final int CONFIRMED_WEIGHT = 2;
+    /** The platform allows to give up a task under which two workers have crashed; the third crash rules out chance. */
+    private static final int MAX_CRASHES = 3;
 
-    /** Three crashes, at most one of them unconfirmed, or five unconfirmed ones; the platform forbids a sixth start. */
-    private static final int EXHAUSTED_WEIGHT = 5;
+    /** How many of them must be under a run that the worker is known to have had. */
+    private static final int MIN_CONFIRMED_CRASHES = 2;
 
-    /** Isolation withholds a worker from other tasks, and most suspects of a single crash are innocent. */
-    private static final int ISOLATION_WEIGHT = 3;
+    /** Enough without confirmed runs: the platform forbids a sixth start. */
+    private static final int MAX_UNCONFIRMED_CRASHES = 5;
 
     /** How long the runs of a worker with an expired lease stay suspect without a sign that it has crashed. */
     private static final Duration LAPSE_RETENTION = Duration.ofSeconds(60);
@@ -74,17 +74,17 @@
 
     /** Returns whether so many workers have crashed under the task that it is to be given up. */
     static boolean exhausted(Task task) {
-        return weight(task) >= EXHAUSTED_WEIGHT;
+        boolean confirmed = task.crashedRuns().size() >= MIN_CONFIRMED_CRASHES;
+        return task.crashCount() >= (confirmed ? MAX_CRASHES : MAX_UNCONFIRMED_CRASHES);
     }
 
-    /** Returns whether the task may be started only where no other task can crash the worker. */
+    /**
+     * Returns whether the task may be started only where no other task can crash the worker. Not after a single crash:
+     * isolation withholds a worker from other tasks, and most suspects of one crash are innocent.
+     */
     static boolean needsIsolation(Task task) {
-        return weight(task) >= ISOLATION_WEIGHT;
-    }
-
-    private static int weight(Task task) {
-        return CONFIRMED_WEIGHT * task.crashedRuns().size()
-                + task.possiblyCrashedRuns().size();
+        boolean confirmed = !task.crashedRuns().isEmpty();
+        return task.crashCount() >= (confirmed ? MAX_CRASHES - 1 : MAX_CRASHES);
     }
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CrashAttributionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CrashAttributionTest.java
@@ -75,6 +75,18 @@
         }
     }
 
+    @Test
+    void taskWithOneConfirmedCrashIsNotExhaustedByThreeUnconfirmedOnes() {
+        task.addCrash(1, true);
+        for (int run = 2; run <= 4; run++) {
+            task.addCrash(run, false);
+            assertThat(task.needsIsolation()).isTrue();
+            assertThat(CrashAttribution.exhausted(task)).isFalse();
+        }
+        task.addCrash(5, true);
+        assertThat(CrashAttribution.exhausted(task)).isTrue();
+    }
+
     @Test
     void provenRunClearsItsTask() {
         for (int crashes = 0; crashes < 2; crashes++) {
