--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -78,13 +78,17 @@
         job.markStarted();
         task.restoreLastRunNumber(record.run());
         task.failedRuns().addAll(record.failedRuns());
+        record.crashedRuns().forEach(number -> task.addCrash(number, true));
+        record.possiblyCrashedRuns().forEach(number -> task.addCrash(number, false));
         task.updateCheckpoint(record.checkpoint());
         if (record.done()) {
             task.markDone();
             task.step().incrementDoneCount();
         } else if (record.worker() != null) {
             WorkerState worker = workerRegistry.worker(record.worker());
+            worker.restoreAddress(record.address());
             Run run = task.restoreRun(worker, record.run(), now);
+            run.restoreWorkerIncarnation(record.incarnation());
             worker.add(run);
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -30,10 +30,22 @@
 
     private final Instant placedAt;
 
+    /** The incarnation of the worker when the run was placed, 0 if it is not known. */
+    private long workerIncarnation;
+
     private RunPhase phase;
 
     private Instant phaseSince;
 
+    /** When the first start order was sent; null before. */
+    private Instant startedAt;
+
+    /** Whether the worker is known to have had the run, or a former owner recorded it there. */
+    private boolean confirmed;
+
+    /** Whether a report has listed the run {@link CrashAttribution#SUSPICION_TIME} after its start. */
+    private boolean proven;
+
     private boolean recorded;
 
     /**
@@ -83,6 +95,7 @@
         this.worker = worker;
         this.number = number;
         this.placedAt = placedAt;
+        this.workerIncarnation = worker.incarnation();
         this.phase = RunPhase.PLANNED;
         this.phaseSince = placedAt;
         this.retryAt = placedAt;
@@ -105,6 +118,27 @@
         return placedAt;
     }
 
+    /** Returns whether the run has been at work so long that it does not crash its worker. */
+    boolean proven() {
+        return proven;
+    }
+
+    boolean confirmed() {
+        return confirmed;
+    }
+
+    void markConfirmed() {
+        confirmed = true;
+    }
+
+    long workerIncarnation() {
+        return workerIncarnation;
+    }
+
+    void restoreWorkerIncarnation(long incarnation) {
+        workerIncarnation = incarnation;
+    }
+
     /** Releases the resources reserved on the worker and removes this run from its task. */
     void release(Instant now) {
         worker.remove(this, now);
@@ -123,6 +157,10 @@
     /** Enters a phase; its first order is due at once. */
     void enterPhase(RunPhase next, Instant now) {
         phase = next;
+        confirmed |= next == RunPhase.RUNNING;
+        if (startedAt == null && next == RunPhase.SENT) {
+            startedAt = now;
+        }
         phaseSince = now;
         unansweredOrders = 0;
         retryAt = Instant.MIN;
@@ -189,6 +227,8 @@
 
     /** Records the progress and the measurement of a worker's report. */
     void observe(double newProgressPercent, double newMeasurement, Instant now) {
+        confirmed = true;
+        proven |= startedAt != null && !now.isBefore(startedAt.plus(CrashAttribution.SUSPICION_TIME));
         if (newProgressPercent > progressPercent || throttledToPercent == 0) {
             progressAt = now;
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -42,6 +42,10 @@
 
     private final JobQueueOrder queueOrder;
 
+    private final CrashAttribution crashAttribution;
+
+    private final IsolationPlanner isolationPlanner;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -61,13 +65,16 @@
             PlacementPolicy placementPolicy,
             WorkerOrderSender orderSender,
             WorkerHealth health,
-            JobQueueOrder queueOrder) {
+            JobQueueOrder queueOrder,
+            CrashAttribution crashAttribution) {
         this.context = context;
         this.jobs = jobs;
         this.placementPolicy = placementPolicy;
         this.orderSender = orderSender;
         this.health = health;
         this.queueOrder = queueOrder;
+        this.crashAttribution = crashAttribution;
+        this.isolationPlanner = new IsolationPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
 
@@ -109,6 +116,7 @@
         }
         FailedPlacements failures = new FailedPlacements();
         PlacementPass pass = placementPolicy.startPass(workerRegistry.workers(), worker -> usable(worker, now), now);
+        placeInIsolation(pass, now);
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
@@ -169,15 +177,34 @@
                 requestCapacity(task, now);
                 continue;
             }
-            Run run = task.place(candidate.worker(), now);
-            candidate.worker().add(run);
+            place(task, candidate, now);
             search.onPlaced(candidate);
-            commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
             placed = true;
         }
         return placed;
     }
 
+    private void place(Task task, PlacementCandidate candidate, Instant now) {
+        Run run = task.place(candidate.worker(), now);
+        candidate.worker().add(run);
+        commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
+    }
+
+    /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
+    private void placeInIsolation(PlacementPass pass, Instant now) {
+        for (Task task : crashAttribution.tasksAwaitingIsolation(now)) {
+            PlacementPass.Search search = pass.search(task.step());
+            PlacementCandidate candidate = search.findBest(task);
+            if (candidate == null) {
+                isolationPlanner.reserve(task, workerRegistry.workers(), worker -> usable(worker, now), now);
+                tasksWaiting = true;
+            } else {
+                place(task, candidate, now);
+                search.onPlaced(candidate);
+            }
+        }
+    }
+
     private void requestCapacity(Task task, Instant now) {
         if (task.step().spec().lasting()) {
             preemptionPlanner
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
@@ -13,6 +14,7 @@
 import org.flamingopitch.scheduler.cell.port.OrderRejection;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
+import org.flamingopitch.scheduler.cell.port.WorkerTarget;
 
 /**
  * Polls one worker, one call at a time; each call extends its lease, acknowledges ends of runs and returns its runs.
@@ -57,6 +59,9 @@
 
     private final RunListener listener;
 
+    /** Receives the worker and the time of the call after each report. */
+    private final BiConsumer<WorkerState, Instant> reportHandler;
+
     private boolean callInFlight;
 
     private Instant nextAt = Instant.MIN;
@@ -66,12 +71,18 @@
     private int failures;
 
     WorkerPoller(
-            CellContext context, WorkerState worker, long fencingToken, Duration leaseDuration, RunListener listener) {
+            CellContext context,
+            WorkerState worker,
+            long fencingToken,
+            Duration leaseDuration,
+            RunListener listener,
+            BiConsumer<WorkerState, Instant> reportHandler) {
         this.context = context;
         this.worker = worker;
         this.fencingToken = fencingToken;
         this.leaseDuration = leaseDuration;
         this.listener = listener;
+        this.reportHandler = reportHandler;
     }
 
     WorkerState worker() {
@@ -133,7 +144,13 @@
         WorkerOrder order = new WorkerOrder.Hold(
                 leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout() : Duration.ZERO);
         long incarnation = worker.incarnation();
-        context.callWorker(worker.target(), order, answer -> handleAnswer(answer, acknowledged, incarnation, now));
+        WorkerTarget target = worker.target();
+        context.callWorker(target, order, answer -> {
+            if (answer instanceof WorkerAnswer.Report) {
+                worker.recordAddress(target.address());
+            }
+            handleAnswer(answer, acknowledged, incarnation, now);
+        });
     }
 
     private Duration longPollTimeout() {
@@ -187,6 +204,9 @@
             }
             applyEnd(end);
         }
+        List<Run> endedWithFormerIncarnation = worker.runs().stream()
+                .filter(run -> !reportedRuns.contains(run) && startedOnFormerIncarnation(run, report.life()))
+                .toList();
         for (Run run : List.copyOf(worker.runs())) {
             boolean outcomeKnownBeforeCall = run.orderOutcomeKnownAt() != null
                     && run.orderOutcomeKnownAt().isBefore(sentAt);
@@ -194,6 +214,9 @@
                 listener.onRunTerminated(run, restarted ? "worker restarted" : "not in the worker's report");
             }
         }
+        if (restarted || !endedWithFormerIncarnation.isEmpty()) {
+            listener.onWorkerCrashed(worker, endedWithFormerIncarnation);
+        }
         boolean noEnds = report.ended().isEmpty();
         boolean active = !worker.runs().isEmpty();
         nextAt = active ? now.plus(noEnds ? Duration.ZERO : MIN_POLL_INTERVAL) : now.plus(IDLE_ACKNOWLEDGE_DELAY);
@@ -204,6 +227,16 @@
             listener.onWorkersChanged();
         }
         listener.onReportApplied(worker);
+        reportHandler.accept(worker, sentAt);
+    }
+
+    /** Returns whether a run was ordered from another incarnation than the present one. */
+    private static boolean startedOnFormerIncarnation(Run run, long incarnation) {
+        boolean firstOrderInFlight = run.orderInFlight() && run.unansweredOrders() == 0;
+        return run.phase() != RunPhase.PLANNED
+                && !firstOrderInFlight
+                && run.workerIncarnation() != 0
+                && run.workerIncarnation() != incarnation;
     }
 
     private void applyRunning(RunReport running, Set<Run> reportedRuns, Instant now) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -23,9 +23,6 @@
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
-import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.model.QueueSpec;
-import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.cell.owner.CellTimings;
@@ -71,7 +68,7 @@
 
     private Instant now = START_TIME;
 
-    private CellConfiguration configuration = initialConfiguration();
+    private CellConfiguration configuration = InitialConfiguration.create();
 
     private int startedHosts;
 
@@ -129,7 +126,19 @@
      * @return the worker
      */
     public FakeWorker addWorker(String name, long milliCores) {
-        FakeWorker worker = new FakeWorker(name, milliCores);
+        return addWorker(name, name + ":1", milliCores);
+    }
+
+    /**
+     * Adds a worker at an address, which a former worker may have had.
+     *
+     * @param name its name
+     * @param address its address
+     * @param milliCores its processor time in thousandths of a core
+     * @return the worker
+     */
+    public FakeWorker addWorker(String name, String address, long milliCores) {
+        FakeWorker worker = new FakeWorker(name, address, milliCores);
         workers.put(name, worker);
         return worker;
     }
@@ -340,12 +349,6 @@
                 .toList();
     }
 
-    private static CellConfiguration initialConfiguration() {
-        QueueSpec queue = new QueueSpec(
-                new QueueName("q"), "callers.example", "/q/", new ServiceName("pool"), 0, 3, 2, 1_000, 3_000, false);
-        return new CellConfiguration(1, List.of(queue), 100_000);
-    }
-
     private static KeyValueResult connectionReset() {
         return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
@@ -23,10 +24,14 @@
 
     private static final long MAX_LEASE_MILLIS = 6_000;
 
+    private static final long CRASH_DELAY_MILLIS = 10;
+
     private final String name;
 
     private final Resources capacity;
 
+    private final String address;
+
     private final Map<TaskRef, Integer> running = new LinkedHashMap<>();
 
     private final Map<TaskRef, Integer> highestRuns = new LinkedHashMap<>();
@@ -59,14 +64,24 @@
 
     private boolean listed = true;
 
+    private Predicate<TaskRef> deadlyTasks = task -> false;
+
+    private boolean crashesAtOnce;
+
+    private long crashAtMillis = Long.MAX_VALUE;
+
+    private boolean crashed;
+
     /**
      * Creates a worker.
      *
      * @param name its name
+     * @param address its address, which a worker that replaces it takes over
      * @param milliCores its processor time in thousandths of a core
      */
-    public FakeWorker(String name, long milliCores) {
+    public FakeWorker(String name, String address, long milliCores) {
         this.name = name;
+        this.address = address;
         this.capacity = new Resources(milliCores, 100_000, 0);
     }
 
@@ -74,6 +89,49 @@
         return name;
     }
 
+    /**
+     * Sets which tasks crash the worker 10 ms after their start.
+     *
+     * @param tasks the tasks
+     */
+    public void setDeadlyTasks(Predicate<TaskRef> tasks) {
+        deadlyTasks = tasks;
+    }
+
+    /**
+     * Sets whether deadly tasks crash the worker before it answers their start.
+     *
+     * @param atOnce whether they crash it at once
+     */
+    public void setCrashesAtOnce(boolean atOnce) {
+        crashesAtOnce = atOnce;
+    }
+
+    /** Ends the worker's process with all its runs; orders are lost until it is restarted or replaced. */
+    public void crash() {
+        crashed = true;
+        crashAtMillis = Long.MAX_VALUE;
+        running.clear();
+    }
+
+    /**
+     * Returns whether the worker's process has ended.
+     *
+     * @return whether it has ended
+     */
+    public boolean crashed() {
+        return crashed;
+    }
+
+    /**
+     * Returns the address.
+     *
+     * @return the address
+     */
+    public String address() {
+        return address;
+    }
+
     /**
      * Sets whether all orders are lost, without effect or answer. Started runs continue until the worker's lease ends.
      *
@@ -149,6 +207,7 @@
     /** Restarts the worker as a new incarnation under the same name, without its runs and its fencing token. */
     public void restart() {
         incarnation++;
+        crashed = false;
         running.clear();
         highestRuns.clear();
         ended.clear();
@@ -206,7 +265,7 @@
         return new WorkerEntry(
                 new WorkerId(name),
                 incarnation,
-                "127.0.0.1:1",
+                address,
                 new ServiceName("pool"),
                 "dc",
                 draining,
@@ -229,6 +288,9 @@
                     delayedStarts.remove(start);
                     start(start, clockMillis);
                 });
+        if (clockMillis >= crashAtMillis) {
+            crash();
+        }
         if (clockMillis >= leaseEndMillis) {
             List.copyOf(running.keySet()).forEach(task -> end(task, EndKind.LAPSED));
         }
@@ -245,7 +307,7 @@
         long clockMillis = (long) (realMillis * clockRate);
         boolean lost =
                 startsLost && order instanceof WorkerOrder.Start || stopsLost && order instanceof WorkerOrder.Stop;
-        if (unresponsive || lost) {
+        if (unresponsive || crashed || lost) {
             return new WorkerAnswer.Lost(new Failure("worker", name, "no answer in time"));
         }
         if (order.fence() < fencingToken) {
@@ -293,6 +355,13 @@
         highestRuns.put(start.task(), start.run());
         running.put(start.task(), start.run());
         started.add(start.task() + "/" + start.run());
+        if (deadlyTasks.test(start.task())) {
+            if (crashesAtOnce) {
+                crash();
+                return new WorkerAnswer.Lost(new Failure("worker", name, "connection closed"));
+            }
+            crashAtMillis = clockMillis + CRASH_DELAY_MILLIS;
+        }
         return new WorkerAnswer.Done(clockMillis);
     }
 }
