Take over from a suspended owner even if the proposed host may not

Cause: only the host that rendezvous hashing proposes claimed a partition. If that host has registered anew shortly before or after the owner was suspended, the owner cannot welcome it, and it waits for the outage bound, 5 min. A host that kept its lease may take over at once and did nothing. Change: a host that may take over a partition and is not the proposed one waits one renew interval, 1 s, for the proposed one, then claims it. The rule who may take over is as before, and the map is changed by compare-and-swap as before. The normal hand-over then gives the partition to the proposed host. Conclusion: if every other host has registered anew while the owner is suspended, all wait for the outage bound, as before: none can know that the owner is not extending its ownership by promises.

--- a/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipGroup.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipGroup.java
@@ -50,6 +50,8 @@
 
     private final TakeoverRule takeoverRule;
 
+    private final TakeoverTurn takeoverTurn;
+
     private final Map<PartitionId, Long> owned = new TreeMap<>();
 
     private final Map<ProcessId, Instant> firstSeenAt = new HashMap<>();
@@ -108,6 +110,7 @@
         this.promises = new OutagePromises(
                 context, group, membership, peerKnowledge, timings, scope, requestSender, this::validUntil);
         this.takeoverRule = new TakeoverRule(watcher, membership, peerKnowledge, timings, promises);
+        this.takeoverTurn = new TakeoverTurn(timings.renewInterval());
         watcher.addListener(this::applyEntry);
     }
 
@@ -263,23 +266,34 @@
 
     private void evaluatePartition(PartitionId partition, List<OwnershipEntry> changes) {
         Optional<OwnershipEntry> entry = map.entry(partition);
-        Optional<ProcessId> proposed = RendezvousHash.propose(partition, candidates());
+        List<ProcessId> candidates = candidates();
+        Optional<ProcessId> proposed = RendezvousHash.propose(partition, candidates);
         if (proposed.isEmpty()) {
             return;
         }
         ProcessId self = membership.self().id();
         if (entry.isPresent() && entry.get().owner().equals(self)) {
+            takeoverTurn.clear(partition);
             evaluateHandOver(entry.get(), proposed.get(), changes);
             return;
         }
-        boolean claimable =
-                entry.isEmpty() || takeoverRule.mayTakeOver(entry.get().owner(), context.now());
-        if (claimable && proposed.get().equals(self)) {
+        boolean selfProposed = proposed.get().equals(self);
+        boolean claims =
+                entry.isEmpty() ? selfProposed : candidates.contains(self) && shouldTakeOver(entry.get(), selfProposed);
+        if (claims) {
             long epoch = entry.map(OwnershipEntry::epoch).orElse(0L) + 1;
             changes.add(new OwnershipEntry(partition, self, membership.self().peerAddress(), epoch));
         }
     }
 
+    private boolean shouldTakeOver(OwnershipEntry entry, boolean selfProposed) {
+        if (takeoverRule.mayTakeOver(entry.owner(), context.now())) {
+            return takeoverTurn.hasCome(entry.partition(), selfProposed, context.now());
+        }
+        takeoverTurn.clear(entry.partition());
+        return false;
+    }
+
     private List<ProcessId> candidates() {
         return membership.members().stream()
                 .filter(member -> scope.eligible(member) && !member.draining())
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/session/TakeoverTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/session/TakeoverTest.java
@@ -8,6 +8,7 @@
 import java.util.function.UnaryOperator;
 import org.flamingopitch.coordination.api.ProcessId;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against partitions that stay with a suspended owner long after its lease has ended. */
@@ -28,6 +29,17 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 1", "0, 2", "1, 0", "1, 2", "2, 0", "2, 1"})
+    void suspendedOwnerIsReplacedAlthoughAnotherHostMustRegisterAnew(int host, int reregistered) {
+        Session session = new Session(Deployment.MINIATURAS, UnaryOperator.identity(), List.of(), InjectedDefect.NONE);
+        session.start();
+        session.runUntil(SUSPENDED_AT.minusMillis(1_500));
+        session.freeze(reregistered, Duration.ofMillis(2_600), false);
+        session.runUntil(SUSPENDED_AT);
+        assertThatSuspendedOwnerIsReplaced(session, host);
+    }
+
     private static Session start(Deployment deployment) {
         Session session = new Session(deployment, UnaryOperator.identity(), List.of(), InjectedDefect.NONE);
         session.start();
