Go on watching the store after an entry that cannot be read

An exception in a listener, such as for an owner's record that can't be read, left the watch without a next call, so the host never saw an owner or configuration again until its restart. Class of fault: a state that only an event ends, and the event can be missing. Change: the next watch call is sent whatever the listeners do. Result: the new test fails before (no call is pending after 30 s) and passes now. Conclusion: fixed.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -99,7 +99,7 @@
     }
 
     /**
-     * Returns whether all keys have been read at least once.
+     * Returns whether all keys have been listed at least once.
      *
      * @return whether a list request has been answered
      */
@@ -161,10 +161,13 @@
     private void handleResult(KeyValueResult result) {
         if (result instanceof KeyValueResult.Listed list) {
             recordAnswer();
-            if (list.revision() >= revision) {
-                applyList(list);
+            try {
+                if (list.revision() >= revision) {
+                    applyList(list);
+                }
+            } finally {
+                sendWatch();
             }
-            sendWatch();
             return;
         }
         lastCallFailed = true;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -199,6 +200,16 @@
         assertThat(election.owner()).contains(OTHER);
     }
 
+    @Test
+    void watchGoesOnAfterARecordThatCannotBeRead() {
+        assertThatThrownBy(() -> watch(new KeyValueEntry(CellKeys.OWNER, "{unreadable", 11)))
+                .isInstanceOf(RuntimeException.class);
+        store.advance(Duration.ofSeconds(30));
+        assertThat(store.pending(KeyValueRequest.Watch.class).size()
+                        + store.pending(KeyValueRequest.ListPrefix.class).size())
+                .isPositive();
+    }
+
     private void watch(KeyValueEntry entry) {
         store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry), entry.version(), false));
     }
