Reserve no worker for a task that lacks something other than capacity

A long-running best-effort task reserves no processor time, so every worker has the capacity that it reserves; it waits because latency-critical tasks lack headroom or no processor time is idle. The planner reserved a whole worker for it again and again, and kept all other tasks from it. Change: a worker that has the reserved capacity already is not reserved.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
@@ -57,7 +57,9 @@
         WorkerState bestWorker = null;
         List<Run> fewestVictims = null;
         for (WorkerState worker : workers) {
-            boolean isCandidate = usable.test(worker) && worker.reservedFor(now) == null;
+            boolean lacksCapacity =
+                    worker.registered() && !task.step().spec().reserved().fitsInto(worker.free());
+            boolean isCandidate = lacksCapacity && usable.test(worker) && worker.reservedFor(now) == null;
             List<Run> victims = isCandidate && placementPolicy.permits(task.step(), worker)
                     ? selectVictims(task, worker, now)
                     : null;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -169,6 +169,36 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    @Test
+    void waitingBestEffortTaskDoesNotReserveAWorkerThatHasTheCapacityItReserves() {
+        runAloneOnOneWorker(OTHER_JOB_ID);
+        session.removeWorker(session.worker("w1").running().isEmpty() ? "w1" : "w2");
+        session.advance(Duration.ofSeconds(4));
+        StepSpec plain = CellSession.step(1, 4_000, true, List.of());
+        StepSpec bestEffort = new StepSpec(
+                1,
+                plain.demand(),
+                plain.estimateMillis(),
+                List.of(),
+                true,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                true,
+                null,
+                0,
+                true,
+                0);
+        submit("00000000000000dd", new JobSpec("work", List.of(bestEffort), 0, 0, 0));
+        session.advance(Duration.ofSeconds(1));
+        submit(JOB_ID, CellSession.job(1, 1_000, false));
+        session.advance(MAX_WAIT);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = CellSession.step(count, milliCores, true, List.of());
         return new StepSpec(
