List short tasks that wait for quarantines on an idle service

The quarantine of a worker grows to 12 s; if all workers are in quarantine, a short task waits for it beside idle workers. LOST covers such jobs when under half of the service is in use. Conclusion: open; a quarantine could end early when no worker outside of one is left.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -199,6 +199,18 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    @Test
+    void shortTaskOnAnIdleServiceStartsInTimeAfterAFault() {
+        session.worker("w1").setStartsLost(true);
+        session.worker("w2").setStartsLost(true);
+        submit(JOB_ID, CellSession.job(1, 1_000, false));
+        session.advance(Duration.ofSeconds(16));
+        session.worker("w1").setStartsLost(false);
+        session.worker("w2").setStartsLost(false);
+        session.advance(CALM_AFTER_DISRUPTION.plus(MAX_WAIT));
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = CellSession.step(count, milliCores, true, List.of());
         return new StepSpec(
