--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/FormerOwnerProbe.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/FormerOwnerProbe.java
@@ -18,7 +18,7 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
-    /** Any request will do; this one changes nothing. */
+    /** Changes nothing; only a process that does not own the cell answers it with {@link JobAnswer.NotOwner}. */
     private static final JobRequest REQUEST = new JobRequest.AskState(new JobId("0000000000000000"));
 
     private final LoopContext context;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -211,8 +211,8 @@
     }
 
     /**
-     * Records that a lease of the given length from now is sent to the worker. It never ends later than that, also if the
-     * worker's clock is slow and the order is executed late.
+     * Records that a lease of the given length from now is sent to the worker. The worker's clock is assumed to
+     * be as slow as permitted since its last report, so that an order that is executed late grants no longer lease.
      *
      * @return the end of the lease in milliseconds on the worker's clock
      */
