Take no run for refused that its worker has reported

A first start is unanswered, is repeated after 300 ms, and a report shows the run before the repeated start is answered. The change to RUNNING reset the count of unanswered orders, by which an answer without effect (not sent in time, unhealthy, late, no room) was taken for the answer to the first start: the run was released and its task started elsewhere. The times of the trace fit: 38.606 start, 0.9 s without an answer, 0.3 s, the repeated start unsent for 0.9 s, 40.846 start_refused.

Change: a run remembers that a start was unanswered until a stop is answered, whatever its phase. An answer without effect refuses a run only if no start of it can have been executed; a run that the worker has reported goes on.

Conclusion: only another incarnation's answer still ends such a run, since the process that had it is gone.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -57,6 +57,9 @@
     /** Whether an order was sent and has not been answered yet. */
     private boolean orderInFlight;
 
+    /** Whether a start was left unanswered and no stop has been answered since, so that it may be executed late. */
+    private boolean startUnanswered;
+
     private Instant retryAt;
 
     /** The number of orders of the present phase that were lost or not answered. */
@@ -209,6 +212,28 @@
         return unansweredOrders;
     }
 
+    void markStartUnanswered() {
+        startUnanswered = true;
+    }
+
+    /** Records that the worker has answered a stop, after which it executes no start of this run. */
+    void markStartsSettled() {
+        startUnanswered = false;
+    }
+
+    /**
+     * Returns whether the worker may have the run although its last start had no effect: it has reported the run, or an
+     * earlier start was left unanswered.
+     */
+    boolean mayBeStarted() {
+        return startUnanswered || phase != RunPhase.SENT;
+    }
+
+    /** Returns whether a start may still be executed by the worker, also by a later incarnation of it. */
+    boolean startMayBeExecutedLate() {
+        return startUnanswered || orderInFlight && phase != RunPhase.STOPPING;
+    }
+
     Instant retryAt() {
         return retryAt;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunListener.java
@@ -17,6 +17,9 @@
     /** Called when a run is known to have terminated without a reported end. */
     void onRunTerminated(Run run, String cause);
 
+    /** Called when a worker does not have a run any more, but may still execute one of its starts. */
+    void onRunMissing(Run run);
+
     /**
      * Called when the runs of a silent worker have ended with its lease; the worker may have crashed, or be cut off.
      */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -248,6 +248,14 @@
         reschedule(run, Duration.ZERO);
     }
 
+    @Override
+    public void onRunMissing(Run run) {
+        LOGGER.atWarning().log(
+                "event=run_missing task=%s run=%d worker=%s",
+                run.task().ref(), run.number(), run.worker().id());
+        orderSender.stop(run);
+    }
+
     @Override
     public void onWorkerLapsed(WorkerState worker, List<Run> runs) {
         crashAttribution.recordLapse(worker, runs, context.now());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -125,33 +125,29 @@
             repeatOrderIfDue(run);
             return;
         }
-        boolean firstAttempt = run.unansweredOrders() == 0;
         if (answer instanceof WorkerAnswer.Done || isRejectedAsOldRun(answer)) {
             run.setOrderOutcomeKnown(context.now());
             if (answer instanceof WorkerAnswer.Done && run.phase() == RunPhase.SENT) {
                 run.enterPhase(RunPhase.RUNNING, context.now());
             }
             listener.onOrderOutcomeKnown(run);
-            return;
-        }
-        if (answer instanceof WorkerAnswer.Lost lost) {
+        } else if (answer instanceof WorkerAnswer.Lost lost) {
             handleStartUnanswered(run, lost);
-            return;
-        }
-        if (firstAttempt || answer instanceof WorkerAnswer.OtherLife) {
+        } else if (answer instanceof WorkerAnswer.OtherLife || !run.mayBeStarted()) {
             boolean workerAtFault = !(answer instanceof WorkerAnswer.Rejected);
             listener.onStartRefused(run, answer.toString(), workerAtFault);
-            return;
+        } else if (run.phase() == RunPhase.SENT) {
+            stop(run);
         }
-        stop(run);
     }
 
     private void handleStartUnanswered(Run run, WorkerAnswer.Lost lost) {
+        run.markStartUnanswered();
         run.markOrderUnanswered(context.now().plus(RETRY_DELAY));
         LOGGER.atWarning().log(
                 "event=start_unanswered task=%s run=%d worker=%s attempt=%d %s",
                 run.task().ref(), run.number(), run.worker().id(), run.unansweredOrders(), lost.failure());
-        if (run.unansweredOrders() >= MAX_START_ATTEMPTS) {
+        if (run.phase() == RunPhase.SENT && run.unansweredOrders() >= MAX_START_ATTEMPTS) {
             listener.onStartUnanswered(run);
             stop(run);
         }
@@ -178,6 +174,7 @@
         boolean outcomeKnown = answer instanceof WorkerAnswer.Done || answer instanceof WorkerAnswer.Rejected;
         if (outcomeKnown) {
             run.setOrderOutcomeKnown(context.now());
+            run.markStartsSettled();
             listener.onOrderOutcomeKnown(run);
             return;
         }
