Stop a run before its task starts elsewhere if a start may still arrive

A worker restarts while a repeated start is under way. Its report lacks the run, the task started elsewhere at once, and the late start then ran on the new incarnation.

Change: a run that is missing in a report is stopped first if one of its starts was left unanswered or is in flight; the answered stop makes the worker reject the late start.

Conclusion: lapsed and replaced workers need no stop: their starts carry a lease that has ended or name a worker that no longer exists.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -210,7 +210,12 @@
         for (Run run : List.copyOf(worker.runs())) {
             boolean outcomeKnownBeforeCall = run.orderOutcomeKnownAt() != null
                     && run.orderOutcomeKnownAt().isBefore(sentAt);
-            if (outcomeKnownBeforeCall && !reportedRuns.contains(run)) {
+            if (!outcomeKnownBeforeCall || reportedRuns.contains(run)) {
+                continue;
+            }
+            if (run.startMayBeExecutedLate()) {
+                listener.onRunMissing(run);
+            } else {
                 listener.onRunTerminated(run, restarted ? "worker restarted" : "not in the worker's report");
             }
         }
