Let a worker in quarantine run one short task if no other worker has capacity

Change: after the first 3 s a worker in quarantine is a last resort for one short task at a time. Its success ends the quarantine, its failure begins another one, so that a faulty worker costs one attempt in 3 s.

WorkerHealthTest and PlacementPolicyTest guard the end, the renewal and the limit of trials.

Conclusion: the growth to 12 s stays, as it bounds trials of faulty workers.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
@@ -17,7 +17,7 @@
 
     private final InterferenceEstimator interference;
 
-    /** Whether the worker may run long-running tasks only, as a last resort. */
+    /** Whether the worker is a last resort, for long-running tasks and one short task at a time. */
     private final boolean quarantined;
 
     private final Instant now;
@@ -36,6 +36,8 @@
 
     private boolean hasIsolatedRun;
 
+    private boolean hasShortRun;
+
     private List<LatencyHeadroom> headrooms;
 
     PlacementCandidate(WorkerState worker, InterferenceEstimator interference, boolean quarantined, Instant now) {
@@ -56,11 +58,13 @@
         hasUnprovenRuns = false;
         hasSuspects = false;
         hasIsolatedRun = false;
+        hasShortRun = false;
         for (Run run : worker.runs()) {
             latencyCriticalTasks += run.task().step().spec().latencyCritical() ? 1 : 0;
             hasUnprovenRuns |= !run.proven();
             hasSuspects |= run.task().suspect();
             hasIsolatedRun |= run.task().needsIsolation();
+            hasShortRun |= !run.task().step().spec().lasting();
         }
     }
 
@@ -89,6 +93,11 @@
         return quarantined;
     }
 
+    /** Returns whether the worker is in quarantine and has its one short task. */
+    boolean onTrial() {
+        return quarantined && hasShortRun;
+    }
+
     Resources free() {
         return free;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -57,7 +57,7 @@
         return new PlacementPass(this, interference, workers, usable, now);
     }
 
-    /** Returns whether a worker gets no new short tasks. */
+    /** Returns whether a worker is in quarantine. */
     boolean quarantined(WorkerState worker, Instant now) {
         return health.quarantined(worker.id(), now);
     }
@@ -96,7 +96,7 @@
         if (!spec.reserved().fitsInto(candidate.free()) || !permits(step, worker)) {
             return NOT_PERMITTED;
         }
-        if (candidate.quarantined() && !spec.lasting()) {
+        if (candidate.onTrial() && !spec.lasting()) {
             return NOT_PERMITTED;
         }
         double score = -candidate.free().milliCores();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -235,7 +235,7 @@
                 run.task().ref(), run.number(), run.worker().id(), reason);
         if (workerAtFault) {
             run.task().avoid(run.worker().id());
-            health.recordFailure(run.worker().id(), run.task().job().id(), context.now());
+            health.recordFailure(run.worker().id(), run.task().job().id(), run.placedAt(), context.now());
         }
         reschedule(run, Duration.ZERO);
     }
@@ -320,7 +320,8 @@
             return;
         }
         task.addFailure(end.run(), worker.id());
-        if (health.recordFailure(worker.id(), task.job().id(), context.now())) {
+        Instant placedAt = run == null ? Instant.MIN : run.placedAt();
+        if (health.recordFailure(worker.id(), task.job().id(), placedAt, context.now())) {
             LOGGER.atWarning().log("event=quarantined worker=%s", worker.id());
         }
         boolean exhausted = task.failedRuns().size() >= task.job().queue().maxAttempts();
@@ -357,7 +358,7 @@
                     Duration.between(run.placedAt(), context.now()).toMillis();
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
-            health.recordSuccess(worker.id(), slowdown);
+            health.recordSuccess(worker.id(), slowdown, run.placedAt());
         }
         if (task.job().allDone()) {
             task.job().end(JobState.DONE, context.now());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
@@ -9,7 +9,10 @@
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.model.WorkerId;
 
-/** Tracks failures and run times of the workers; quarantines workers that fail or stall, and finds slow ones. */
+/**
+ * Tracks failures and run times of the workers; quarantines workers that fail or stall, and finds slow ones. A short run
+ * that was placed during a quarantine is a trial: its success ends the quarantine, its failure begins another one.
+ */
 final class WorkerHealth {
 
     /**
@@ -32,8 +35,11 @@
      *
      * @param slowdown the duration of the run divided by the expected duration
      */
-    void recordSuccess(WorkerId worker, double slowdown) {
+    void recordSuccess(WorkerId worker, double slowdown, Instant placedAt) {
         WorkerHistory history = historyOf(worker);
+        if (history.isTrial(placedAt)) {
+            history.quarantinedUntil = Instant.MIN;
+        }
         history.failedJobs.clear();
         history.nextQuarantine = INITIAL_QUARANTINE;
         history.slowdown = history.slowdown * (1 - SLOWDOWN_SMOOTHING_WEIGHT) + slowdown * SLOWDOWN_SMOOTHING_WEIGHT;
@@ -42,12 +48,14 @@
     /**
      * Records a run that failed.
      *
+     * @param placedAt when the run was placed, {@link Instant#MIN} if that is not known
      * @return whether the worker is quarantined because of it
      */
-    boolean recordFailure(WorkerId worker, JobId job, Instant now) {
+    boolean recordFailure(WorkerId worker, JobId job, Instant placedAt, Instant now) {
         WorkerHistory history = historyOf(worker);
         history.failedJobs.add(job);
-        if (history.failedJobs.size() < FAILED_JOBS_TO_QUARANTINE) {
+        boolean trialFailed = history.isTrial(placedAt) && now.isBefore(history.quarantinedUntil);
+        if (!trialFailed && history.failedJobs.size() < FAILED_JOBS_TO_QUARANTINE) {
             return false;
         }
         quarantine(worker, now);
@@ -62,13 +70,14 @@
     void quarantine(WorkerId worker, Instant now) {
         WorkerHistory history = historyOf(worker);
         history.failedJobs.clear();
+        history.quarantinedAt = now;
         history.quarantinedUntil = now.plus(history.nextQuarantine);
         history.quarantinedForAllUntil = now.plus(INITIAL_QUARANTINE);
         Duration doubled = history.nextQuarantine.multipliedBy(2);
         history.nextQuarantine = doubled.compareTo(MAX_QUARANTINE) > 0 ? MAX_QUARANTINE : doubled;
     }
 
-    /** Returns whether a worker gets no new short tasks. */
+    /** Returns whether a worker is in quarantine, so that it gets no new short tasks but for trials. */
     boolean quarantined(WorkerId worker, Instant now) {
         WorkerHistory history = histories.get(worker);
         return history != null && now.isBefore(history.quarantinedUntil);
@@ -100,10 +109,17 @@
 
         private Duration nextQuarantine = INITIAL_QUARANTINE;
 
+        private Instant quarantinedAt = Instant.MAX;
+
         private Instant quarantinedUntil = Instant.MIN;
 
         private Instant quarantinedForAllUntil = Instant.MIN;
 
         private double slowdown = 1;
+
+        /** Returns whether a run was placed after the last quarantine began. */
+        private boolean isTrial(Instant placedAt) {
+            return placedAt.isAfter(quarantinedAt);
+        }
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicyTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicyTest.java
@@ -15,7 +15,9 @@
 
     private static final double TARGET_MILLIS = 40;
 
-    private final PlacementPolicy placement = new PlacementPolicy(new WorkerHealth(), new InterferenceEstimator());
+    private final WorkerHealth health = new WorkerHealth();
+
+    private final PlacementPolicy placement = new PlacementPolicy(health, new InterferenceEstimator());
 
     private int jobCount;
 
@@ -94,6 +96,18 @@
         assertThat(findBest(tooLarge, worker)).isNull();
     }
 
+    @Test
+    void workerInQuarantineGetsOneShortTaskOnlyIfNoOtherWorkerHasCapacity() {
+        WorkerState quarantined = worker("quarantined");
+        health.quarantine(quarantined.id(), OwnerFixtures.NOW);
+        Job job = OwnerFixtures.job("q", batchStep(2, 12_000, null, 0), OwnerFixtures.NOW);
+        assertThat(findBest(job, quarantined, worker("sound"))).isNotSameAs(quarantined);
+        Job small = OwnerFixtures.job("s", batchStep(2, 1_000, null, 0), OwnerFixtures.NOW);
+        assertThat(findBest(small, quarantined)).isSameAs(quarantined);
+        quarantined.add(OwnerFixtures.task(small).place(quarantined, OwnerFixtures.NOW));
+        assertThat(findBest(small, quarantined)).isNull();
+    }
+
     @Test
     void tasksOfAStepAreSpreadByItsMaximumPerWorker() {
         WorkerState first = worker("first");
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
@@ -38,7 +38,7 @@
     void failuresOfOneJobDoNotQuarantineAWorker() {
         JobId job = new JobId("00000000000000aa");
         for (int i = 0; i < 5; i++) {
-            assertThat(health.recordFailure(WORKER, job, START)).isFalse();
+            assertThat(health.recordFailure(WORKER, job, START, START)).isFalse();
         }
         assertThat(health.quarantined(WORKER, START)).isFalse();
     }
@@ -47,8 +47,32 @@
     void successEndsTheGrowthOfTheQuarantine() {
         health.quarantine(WORKER, START);
         health.quarantine(WORKER, START);
-        health.recordSuccess(WORKER, 1);
+        health.recordSuccess(WORKER, 1, START);
         health.quarantine(WORKER, START);
         assertThat(health.quarantined(WORKER, after(3))).isFalse();
     }
+
+    @Test
+    void trialThatSucceedsEndsTheQuarantine() {
+        growQuarantine();
+        health.recordSuccess(WORKER, 1, START.minusSeconds(1));
+        assertThat(health.quarantined(WORKER, after(4))).isTrue();
+        health.recordSuccess(WORKER, 1, after(4));
+        assertThat(health.quarantined(WORKER, after(5))).isFalse();
+    }
+
+    @Test
+    void trialThatFailsBeginsAnotherQuarantine() {
+        growQuarantine();
+        assertThat(health.recordFailure(WORKER, new JobId("00000000000000aa"), after(4), after(5)))
+                .isTrue();
+        assertThat(health.quarantinedForAll(WORKER, after(7))).isTrue();
+    }
+
+    /** Quarantines the worker for 12 s. */
+    private void growQuarantine() {
+        health.quarantine(WORKER, START);
+        health.quarantine(WORKER, START);
+        health.quarantine(WORKER, START);
+    }
 }
