Keep the distribution of task durations of each queue

Cause: the owner knows only the mean ratio of actual to estimated duration. The mean does not tell how much longer a run will last that has outlasted the others: on one deployment 3 % of the short tasks take 7 times as long. An owner that cannot read the stored statistics of another version also fails at each takeover.

Change: DurationDistribution counts the ratios of the last 500 to 1,000 runs of a queue in two HdrHistograms that rotate, and answers quantiles and E[duration - elapsed | duration > elapsed]. DurationEstimates keeps one for each of at most 32 queues and stores them in LearnedRecord as two compressed histograms. The mean is unchanged. Runs of a former owner are not counted, as their start is not known.

Conclusion: single runs can be compared with those of their queue. A former version cannot read the new record of the statistics.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedRecord.java
@@ -25,8 +25,10 @@
      *
      * @param queue the queue
      * @param ratio the actual duration of a task divided by its estimate, on average
+     * @param recentRatios the histogram of the ratios of the newest runs, null if there is none
+     * @param formerRatios the histogram of the ratios of the runs before them, null if there is none
      */
-    record Duration(QueueName queue, double ratio) {}
+    record Duration(QueueName queue, double ratio, String recentRatios, String formerRatios) {}
 
     /**
      * How one latency-critical image responds to interference.
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -48,6 +48,9 @@
 
     private boolean recorded;
 
+    /** Whether {@link #placedAt} is the start of the run, and not the takeover after a former owner started it. */
+    private boolean beginKnown = true;
+
     /**
      * Since when the outcome of the last start or stop order is known: the worker has the run, has agreed to stop it,
      * or will never start it. Null while the outcome is unknown.
@@ -166,6 +169,15 @@
         retryAt = Instant.MIN;
     }
 
+    /** Returns whether the run's whole duration is known; it is not after a takeover. */
+    boolean beginKnown() {
+        return beginKnown;
+    }
+
+    void markBeginUnknown() {
+        beginKnown = false;
+    }
+
     boolean recorded() {
         return recorded;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -349,6 +349,10 @@
                     Duration.between(run.placedAt(), context.now()).toMillis();
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
+            if (run.beginKnown()) {
+                estimates.recordDuration(
+                        task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
+            }
             health.recordSuccess(worker.id(), slowdown);
         }
         if (task.job().allDone()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -114,6 +114,7 @@
         run.enterPhase(RunPhase.SENT, now);
         run.setOrderOutcomeKnown(Instant.MIN);
         run.markConfirmed();
+        run.markBeginUnknown();
         return run;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
@@ -447,6 +448,27 @@
         assertThat(session.running(JOB_ID)).isEmpty();
     }
 
+    /** Another version may have written statistics that this one cannot read; the cell must not stay without owner. */
+    @Test
+    void successorTakesOverAlthoughTheLearnedStatisticsCannotBeRead() {
+        submit("h1", JOB_PATH, CellSession.job(2, 1_000, true));
+        session.advance(Duration.ofMillis(500));
+        session.store()
+                .apply(new KeyValueRequest.Transaction(
+                        List.of(),
+                        List.of(new KeyValueRequest.Write("flamingopitch/learned", "{\"durations\":7}", null)),
+                        List.of()));
+        String survivor = nonOwner();
+        session.killHost(owner());
+        session.store().endLeases();
+        session.advance(Duration.ofSeconds(2));
+        assertThat(session.node(survivor).ownsCell()).isTrue();
+        List<CallerReply> accepted = submit(survivor, "/q/" + OTHER_JOB_ID, CellSession.job(1, 1_000, false));
+        session.advance(Duration.ofSeconds(1));
+        assertThat(accepted).containsExactly(new CallerReply.Done());
+        assertThat(session.running(JOB_ID)).hasSize(2).doesNotHaveDuplicates();
+    }
+
     @Test
     void submissionsWithInvalidPathOrStepsAreRejected() {
         assertThat(submit("h1", "/q/short", CellSession.job(1, 1, false)))
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/LearnedRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/LearnedRecordTest.java
@@ -31,4 +31,55 @@
         assertThat(successor.isCostKnown("heavy")).isTrue();
         assertThat(successorEstimates.expectedMillis(new QueueName("q"), 1_000)).isEqualTo(1_600);
     }
+
+    @Test
+    void restoredDistributionAnswersAsTheOneThatWasStored() {
+        QueueName queue = new QueueName("q");
+        DurationEstimates estimates = new DurationEstimates();
+        for (int i = 0; i < 700; i++) {
+            estimates.recordRun(queue, 1_000, i % 33 == 0 ? 7_000 : 1_000);
+            estimates.recordDuration(queue, 1_000, i % 33 == 0 ? 7_000 : 1_000);
+        }
+        LearnedRecord record = new LearnedRecord(estimates.records(), List.of());
+        LearnedRecord decoded = JsonCodec.compact().decode(JsonCodec.compact().encode(record), LearnedRecord.class);
+        DurationEstimates successor = new DurationEstimates();
+        successor.restore(decoded.durations());
+        assertThat(successor.expectedMillis(queue, 1_000)).isEqualTo(estimates.expectedMillis(queue, 1_000));
+        assertThat(successor.medianMillis(queue, 1_000)).isCloseTo(1_000, within(60L));
+        assertThat(successor.expectedRemainingMillis(queue, 1_000, 1_200)).isCloseTo(5_700, within(400L));
+        assertThat(successor.distribution(queue).runs()).isEqualTo(700);
+    }
+
+    @Test
+    void recordWithoutADistributionIsRead() {
+        LearnedRecord decoded =
+                JsonCodec.compact().decode("{\"durations\":[{\"queue\":\"q\",\"ratio\":1.5}]}", LearnedRecord.class);
+        DurationEstimates successor = new DurationEstimates();
+        successor.restore(decoded.durations());
+        assertThat(successor.expectedMillis(new QueueName("q"), 1_000)).isEqualTo(1_500);
+        assertThat(successor.distribution(new QueueName("q")).known()).isFalse();
+    }
+
+    @Test
+    void distributionThatCannotBeReadDoesNotBlockTheOtherStatistics() {
+        DurationEstimates successor = new DurationEstimates();
+        successor.restore(List.of(
+                new LearnedRecord.Duration(new QueueName("q"), 1.5, "AAAA", null),
+                new LearnedRecord.Duration(new QueueName("r"), 2, null, null)));
+        assertThat(successor.expectedMillis(new QueueName("q"), 1_000)).isEqualTo(1_500);
+        assertThat(successor.expectedMillis(new QueueName("r"), 1_000)).isEqualTo(2_000);
+    }
+
+    /** Queues come and go with the configuration; their distributions must not fill the memory and the store. */
+    @Test
+    void distributionsOfManyQueuesAreBounded() {
+        DurationEstimates estimates = new DurationEstimates();
+        for (int i = 0; i < 200; i++) {
+            estimates.recordDuration(new QueueName("q" + i), 1_000, 1_000);
+            estimates.recordDuration(new QueueName("used"), 1_000, 1_000);
+        }
+        assertThat(estimates.distribution(new QueueName("q0")).runs()).isZero();
+        assertThat(estimates.distribution(new QueueName("q199")).runs()).isEqualTo(1);
+        assertThat(estimates.distribution(new QueueName("used")).runs()).isEqualTo(200);
+    }
 }
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/speculation/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions about copies of tasks. */
+package org.flamingopitch.scheduler.cell.speculation;
