Take a run for stalled only if reports show no progress

Cause: during an outage of the store callers lost work of healthy workers. A worker with an end that is not durable yet is not polled until its lease is near its end, so its other runs showed no progress for 2.5 s, were stopped, and the worker was quarantined.

Change: the time without progress is measured up to the last report that listed the run, not up to now.

Conclusion: a worker that is silent is not stalled; its lease decides.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -80,6 +80,9 @@
     /** When the progress last rose, or the run was last seen paused. */
     private Instant progressAt;
 
+    /** When a report last listed the run, or it was placed. */
+    private Instant reportedAt;
+
     /** Since when all measurements of a latency-critical task are over its target; null if the last one is not. */
     private Instant overTargetSince;
 
@@ -106,6 +109,7 @@
         this.phaseSince = placedAt;
         this.retryAt = placedAt;
         this.progressAt = placedAt;
+        this.reportedAt = placedAt;
     }
 
     Task task() {
@@ -258,13 +262,15 @@
         return measurement;
     }
 
-    Instant progressAt() {
-        return progressAt;
+    /** Returns whether reports have shown no progress for a time; a time without reports shows nothing. */
+    boolean withoutProgressFor(Duration time) {
+        return !reportedAt.isBefore(progressAt.plus(time));
     }
 
     /** Records the progress and the measurement of a worker's report. */
     void observe(double newProgressPercent, double newMeasurement, Instant now) {
         confirmed = true;
+        reportedAt = now;
         proven |= startedAt != null && !now.isBefore(startedAt.plus(CrashAttribution.SUSPICION_TIME));
         if (newProgressPercent > progressPercent || throttledToPercent == 0) {
             progressAt = now;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -54,7 +54,7 @@
                         run.task().job().queue().name(),
                         run.task().step().spec().estimateMillis()));
         boolean overdue = now.isAfter(run.placedAt().plus(expected).plus(STALL_TIMEOUT));
-        boolean stalled = now.isAfter(run.progressAt().plus(STALL_TIMEOUT)) && workerRegistry.answering(run.worker());
+        boolean stalled = run.withoutProgressFor(STALL_TIMEOUT) && workerRegistry.answering(run.worker());
         boolean throttled = run.throttledToPercent() != FULL_SPEED_PERCENT;
         if (!longRunning && overdue && stalled && !throttled) {
             LOGGER.atWarning().log(
