Log the inputs of a rejection and the work of a submitted job

Cause: event=refused told only the retry delay, so that a rejection could not be explained from the log, and the analysis of logs knows no sizes of jobs.

Change: AdmissionPolicy (new package admission) decides from plain values; AdmissionControl collects them. event=refused has reason, wait_ms, work_ahead_core_ms, capacity_cores, critical_path_ms, allowed_ms, retry_ms, share (1.00 until shares are kept) and work_core_ms; event=submitted has work_core_ms and tasks, by the caller's estimates. Rejected long-running jobs have a reason of their own, long_running_share; refusals that do not depend on the load are logged as unsupported and unconfirmed, the latter not at all before. No decision has changed.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -12,12 +12,16 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.LongSupplier;
+import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 
 /** Records the metrics of a {@link CellHost} and writes them in the Prometheus text format. */
-final class CellMetrics {
+final class CellMetrics implements AdmissionMetrics {
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Queues of this and lower priorities share a label, so that the number of labels is bounded. */
+    private static final int LAST_PRIORITY_LABEL = 9;
+
     private static final double[] BUCKET_LIMITS_SECONDS = {.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5};
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -61,6 +65,19 @@
             .help("Jobs that are accepted and not at their end, on the owner.")
             .register(registry);
 
+    private final Counter admissions = Counter.builder()
+            .name("flamingopitch_admissions_total")
+            .help("Submissions at the owner by the priority of their queue and outcome.")
+            .labelNames("queue_priority", "outcome")
+            .register(registry);
+
+    private final Histogram admissionWait = Histogram.builder()
+            .name("flamingopitch_admission_wait_seconds")
+            .help("Expected wait of a submitted job, admitted or not.")
+            .classicUpperBounds(.1, .25, .5, 1, 2.5, 5, 10, 25, 50)
+            .classicOnly()
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -99,6 +116,17 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
+    @Override
+    public void recordAdmission(int priority, String outcome) {
+        String label = Integer.toString(Math.max(0, Math.min(LAST_PRIORITY_LABEL, priority)));
+        admissions.labelValues(label, outcome).inc();
+    }
+
+    @Override
+    public void recordAdmissionWait(Duration expectedWait) {
+        admissionWait.observe(seconds(expectedWait));
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionOutcome.java
@@ -0,0 +1,34 @@
+package org.flamingopitch.scheduler.cell.admission;
+
+/** The outcome of a submission at the owner of the cell. */
+public enum AdmissionOutcome {
+    /** The job is admitted. */
+    ADMITTED("admitted"),
+
+    /** The work ahead of the job would not be done in time. */
+    BACKLOG("backlog"),
+
+    /** Long-running tasks would reserve so many processors that short tasks would lack capacity. */
+    LONG_RUNNING_SHARE("long_running_share"),
+
+    /** The job needs a feature that is not supported. */
+    UNSUPPORTED("unsupported"),
+
+    /** The store has not confirmed the ownership recently enough. */
+    UNCONFIRMED("unconfirmed");
+
+    private final String label;
+
+    AdmissionOutcome(String label) {
+        this.label = label;
+    }
+
+    /**
+     * Returns the name of the outcome in logs and metrics.
+     *
+     * @return the name
+     */
+    public String label() {
+        return label;
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
@@ -72,6 +72,28 @@
         return longest;
     }
 
+    /**
+     * Returns the work of one occurrence by the caller's estimates: processor time times duration, over all tasks.
+     *
+     * @return the work in millicores times milliseconds; 0 for a long-running job without estimates
+     */
+    public long estimatedWork() {
+        long work = 0;
+        for (StepSpec step : steps) {
+            work += step.count() * step.estimateMillis() * step.demand().milliCores();
+        }
+        return work;
+    }
+
+    /**
+     * Returns the number of tasks over all occurrences.
+     *
+     * @return the number
+     */
+    public long taskCount() {
+        return steps.stream().mapToLong(StepSpec::count).sum() * occurrences();
+    }
+
     /**
      * Validates the steps and the number of tasks.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -1,45 +1,29 @@
 package org.flamingopitch.scheduler.cell.owner;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
-import java.util.Optional;
+import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
+import org.flamingopitch.scheduler.cell.admission.AdmissionInputs;
+import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
- * Decides at submission whether a job is admitted, from the work that is queued ahead of it and the unreserved
- * processor time. In overload it rejects a job that would end long after its objective (the time by which it should
- * end), with the delay after which the caller should retry.
+ * Collects what decides the admission of a job, from the jobs that the owner knows: the work that is queued ahead of it
+ * and, for a long-running job, what the others reserve. {@link AdmissionPolicy} decides.
  */
 final class AdmissionControl {
 
-    /**
-     * A job is rejected if its expected duration exceeds this multiple of the allowed one. It is above 1 because
-     * estimates err in both directions.
-     */
-    private static final double MAX_DURATION_FACTOR = 1.4;
-
-    /**
-     * Maximum share of the workers' processor time that long-running tasks may reserve. The rest is for short tasks and
-     * for the loss of workers.
-     */
-    private static final double MAX_LONG_RUNNING_SHARE = 0.85;
-
-    private static final Duration MIN_RETRY_DELAY = Duration.ofSeconds(1);
-
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(8);
-
     private AdmissionControl() {}
 
     /**
-     * Returns the delay after which the caller should retry, or empty if the job is admitted.
+     * Decides on a job.
      *
-     * @param capacity the work that the workers can complete each millisecond, in millicores
+     * @param capacity the work that the workers can complete for the queue each millisecond, in millicores
      * @param totalMilliCores the processor time of all workers of the queue's service, in millicores
      */
-    static Optional<Duration> retryDelayIfRejected(
+    static AdmissionDecision decide(
             JobSpec spec,
             QueueSpec queue,
             Collection<Job> jobs,
@@ -48,38 +32,29 @@
             DurationEstimates estimates,
             Instant now) {
         if (spec.longRunning()) {
-            return longRunningRetryDelay(spec, queue, jobs, totalMilliCores);
+            return AdmissionPolicy.decideLongRunning(reservedByLongRunningJobs(spec, queue, jobs), totalMilliCores);
         }
         if (spec.timed()) {
-            return Optional.empty();
-        }
-        if (capacity <= 0) {
-            return Optional.empty();
+            return AdmissionPolicy.admit();
         }
-        long waitMillis = backlog(spec, queue, jobs, estimates, now) / capacity;
-        long criticalPathMillis = estimates.expectedMillis(queue.name(), spec.criticalPathMillis());
-        long allowedMillis =
-                (long) (MAX_DURATION_FACTOR * (queue.stretch() * spec.criticalPathMillis() + queue.targetMillis()));
-        long excessMillis = waitMillis + criticalPathMillis - allowedMillis;
-        return excessMillis <= 0 ? Optional.empty() : Optional.of(clamp(Duration.ofMillis(excessMillis)));
+        long allowedMillis = (long) (AdmissionPolicy.MAX_DURATION_FACTOR
+                * (queue.stretch() * spec.criticalPathMillis() + queue.targetMillis()));
+        return AdmissionPolicy.decide(new AdmissionInputs(
+                workAhead(spec, queue, jobs, estimates, now),
+                capacity,
+                estimates.expectedMillis(queue.name(), spec.criticalPathMillis()),
+                allowedMillis,
+                1));
     }
 
-    /**
-     * Returns the retry delay of a long-running job that would leave too little capacity for short jobs, or empty if
-     * the job is admitted. Such a job is not queued: it would wait for capacity that other long-running jobs do not
-     * release soon.
-     */
-    private static Optional<Duration> longRunningRetryDelay(
-            JobSpec spec, QueueSpec queue, Collection<Job> jobs, long totalMilliCores) {
+    private static long reservedByLongRunningJobs(JobSpec spec, QueueSpec queue, Collection<Job> jobs) {
         long reserved = reservedMilliCores(spec);
         for (Job job : jobs) {
             if (job.open() && job.spec().longRunning() && job.queue().service().equals(queue.service())) {
                 reserved += reservedMilliCores(job.spec());
             }
         }
-        return totalMilliCores > 0 && reserved > MAX_LONG_RUNNING_SHARE * totalMilliCores
-                ? Optional.of(MAX_RETRY_DELAY)
-                : Optional.empty();
+        return reserved;
     }
 
     private static long reservedMilliCores(JobSpec spec) {
@@ -90,19 +65,12 @@
         return sum;
     }
 
-    private static Duration clamp(Duration delay) {
-        if (delay.compareTo(MIN_RETRY_DELAY) < 0) {
-            return MIN_RETRY_DELAY;
-        }
-        return delay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : delay;
-    }
-
     /**
      * Returns the work that is to be done by the end of the new job, its own included, in millicores times
      * milliseconds. Each job ahead counts with at most the new job's own work, since smaller jobs are placed before
      * larger ones.
      */
-    private static long backlog(
+    private static long workAhead(
             JobSpec spec, QueueSpec queue, Collection<Job> jobs, DurationEstimates estimates, Instant now) {
         long jobWork = 0;
         for (StepSpec step : spec.steps()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -8,9 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
+import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
+import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 
 /**
@@ -35,6 +38,8 @@
 
     private static final Duration UNCONFIRMED_RETRY_DELAY = Duration.ofSeconds(1);
 
+    private static final long MILLICORES_PER_CORE = 1_000;
+
     private final CellContext context;
 
     private final CellTimings timings;
@@ -277,15 +282,14 @@
         }
         Optional<String> unsupportedFeature = unsupportedFeature(submit);
         if (unsupportedFeature.isPresent()) {
-            LOGGER.atWarning().log("event=refused job=%s reason=\"%s\"", submit.id(), unsupportedFeature.get());
-            answer.accept(new JobAnswer.Refused(UNSUPPORTED_RETRY_DELAY, unsupportedFeature.get()));
+            refuse(submit, AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, unsupportedFeature.get(), answer);
             return;
         }
         if (!mayAct()) {
-            answer.accept(new JobAnswer.Refused(UNCONFIRMED_RETRY_DELAY, "the store does not answer"));
+            refuse(submit, AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, "the store does not answer", answer);
             return;
         }
-        Optional<Duration> retryDelay = AdmissionControl.retryDelayIfRejected(
+        AdmissionDecision decision = AdmissionControl.decide(
                 submit.spec(),
                 submit.queue(),
                 jobs.open(),
@@ -293,26 +297,56 @@
                 load.totalMilliCores(submit.queue()),
                 runManager.estimates(),
                 context.now());
-        if (retryDelay.isPresent()) {
-            LOGGER.atInfo().log(
-                    "event=refused job=%s queue=%s reason=backlog retry_ms=%d",
-                    submit.id(), submit.queue().name(), retryDelay.get().toMillis());
-            answer.accept(new JobAnswer.Refused(retryDelay.get(), "too much work waits"));
+        recordDecision(submit, decision);
+        if (!decision.admitted()) {
+            answer.accept(new JobAnswer.Refused(decision.retryDelay(), "too much work waits"));
             return;
         }
         Job job = new Job(submit.id(), submit.queue(), submit.spec(), context.now(), context.timeOfDayMillis());
         jobs.add(job);
         runManager.averageJobWork().add(job.queue().name(), job.spec());
         LOGGER.atInfo().log(
-                "event=submitted job=%s queue=%s steps=%d open=%d",
+                "event=submitted job=%s queue=%s steps=%d tasks=%d work_core_ms=%d open=%d",
                 job.id(),
                 job.queue().name(),
                 job.spec().steps().size(),
+                job.spec().taskCount(),
+                job.spec().estimatedWork() / MILLICORES_PER_CORE,
                 jobs.all().size());
         runManager.requestPlacement();
         runWhenDurable(job, () -> answer.accept(new JobAnswer.Accepted()), answer);
     }
 
+    /** Counts a decision on a submission, and logs it if the job is rejected. */
+    private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
+        AdmissionMetrics metrics = context.admissionMetrics();
+        metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
+        if (decision.inputs().workAhead() > 0) {
+            metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
+        }
+        if (!decision.admitted()) {
+            LOGGER.atInfo().log(
+                    "event=refused job=%s queue=%s %s work_core_ms=%d",
+                    submit.id(),
+                    submit.queue().name(),
+                    decision.logFields(),
+                    submit.spec().estimatedWork() / MILLICORES_PER_CORE);
+        }
+    }
+
+    private void refuse(
+            JobRequest.Submit submit,
+            AdmissionOutcome outcome,
+            Duration retryDelay,
+            String detail,
+            Consumer<JobAnswer> answer) {
+        context.admissionMetrics().recordAdmission(submit.queue().priority(), outcome.label());
+        LOGGER.atWarning().log(
+                "event=refused job=%s queue=%s reason=%s retry_ms=%d detail=\"%s\"",
+                submit.id(), submit.queue().name(), outcome.label(), retryDelay.toMillis(), detail);
+        answer.accept(new JobAnswer.Refused(retryDelay, detail));
+    }
+
     /** Returns the feature that a job needs and that is not supported, if any; such a job is refused. */
     private static Optional<String> unsupportedFeature(JobRequest.Submit submit) {
         if (submit.queue().advised()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -32,4 +32,13 @@
      * @param handler receives the registrations, or a failure, exactly once
      */
     void listWorkers(Consumer<WorkerListing> handler);
+
+    /**
+     * Returns the receiver of what is measured of admissions.
+     *
+     * @return the receiver; by default one that discards everything
+     */
+    default AdmissionMetrics admissionMetrics() {
+        return AdmissionMetrics.NONE;
+    }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.junit.jupiter.api.Test;
 
@@ -30,7 +31,13 @@
     }
 
     private Optional<Duration> retryDelay(JobSpec spec, List<Job> jobs) {
-        return AdmissionControl.retryDelayIfRejected(
+        return Optional.of(decide(spec, jobs))
+                .filter(decision -> !decision.admitted())
+                .map(AdmissionDecision::retryDelay);
+    }
+
+    private AdmissionDecision decide(JobSpec spec, List<Job> jobs) {
+        return AdmissionControl.decide(
                 spec, OwnerFixtures.queue(), jobs, CAPACITY_MILLICORES, TOTAL_MILLICORES, estimates, OwnerFixtures.NOW);
     }
 
@@ -49,6 +56,18 @@
                 .hasValueSatisfying(retry -> assertThat(retry).isBetween(Duration.ofSeconds(1), Duration.ofSeconds(8)));
     }
 
+    /** A rejection that cannot be recalculated from its log line cannot be explained afterwards. */
+    @Test
+    void refusedLineHasAllInputsThatDecidedIt() {
+        List<Job> waiting = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            waiting.add(job(i, OwnerFixtures.NOW));
+        }
+        assertThat(decide(job(99, OwnerFixtures.NOW).spec(), waiting).logFields())
+                .isEqualTo("reason=backlog wait_ms=41000 work_ahead_core_ms=410000 capacity_cores=10.0 "
+                        + "critical_path_ms=1000 allowed_ms=4200 retry_ms=8000 share=1.00");
+    }
+
     @Test
     void smallJobIsAdmittedWhileLargeJobsWait() {
         List<Job> waiting = new ArrayList<>();
