Compute the capacity of a queue from reservations

Cause: admission took the rate of completion of all queues plus idle processors as capacity of every queue. Best-effort tasks use up idle processors, though they reserve none and yield, and what is not admitted is not completed: an urgent queue that was rejected once stayed rejected.

Change: for jobs that reserve processors the capacity is what long-running tasks and queues with a higher priority do not reserve on usable workers, by the scarcer of processors and memory, memory of best-effort tasks of a lower priority counted as free. For best-effort jobs it is the rate at which best-effort work completes plus idle processors. Running tasks count as work ahead with their remaining time (best-effort ones by their progress), and not at all where their reservation reduces the capacity already.

No existing test has changed.

Conclusion: callers of an urgent queue should see hardly any reason=backlog while best-effort tasks fill the workers, and capacity_cores of their rejections should not fall with the number of rejections. A cell without best-effort tasks gets the same capacity as before when it is busy for longer than 6 s; at the beginning of a burst it admits more, as running tasks count before the first of them completes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -1,10 +1,12 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionInputs;
 import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
+import org.flamingopitch.scheduler.cell.admission.QueueCapacity;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -15,6 +17,8 @@
  */
 final class AdmissionControl {
 
+    private static final double FULL_PROGRESS_PERCENT = 100;
+
     private AdmissionControl() {}
 
     /**
@@ -68,7 +72,7 @@
     /**
      * Returns the work that is to be done by the end of the new job, its own included, in millicores times
      * milliseconds. Each job ahead counts with at most the new job's own work, since smaller jobs are placed before
-     * larger ones.
+     * larger ones. Running tasks whose reservations are no part of the capacity do not count.
      */
     private static long workAhead(
             JobSpec spec, QueueSpec queue, Collection<Job> jobs, DurationEstimates estimates, Instant now) {
@@ -78,14 +82,50 @@
                     * step.demand().milliCores()
                     * step.count();
         }
-        long backlog = jobWork;
+        boolean bestEffort = QueueCapacity.isBestEffort(spec);
+        long workAhead = jobWork;
         for (Job job : jobs) {
             boolean isAhead =
                     job.open() && !job.spec().longRunning() && job.queue().priority() <= queue.priority();
             if (isAhead && JobQueueOrder.canMeetObjective(job, estimates, now)) {
-                backlog += Math.min(jobWork, JobQueueOrder.remainingWork(job, estimates));
+                workAhead += Math.min(jobWork, remainingWork(job, queue, bestEffort, estimates, now));
+            }
+        }
+        return workAhead;
+    }
+
+    private static long remainingWork(
+            Job job, QueueSpec queue, boolean bestEffort, DurationEstimates estimates, Instant now) {
+        long work = 0;
+        for (Step step : job.occurrences().get(0)) {
+            if (step.done()) {
+                continue;
+            }
+            StepSpec spec = step.spec();
+            boolean runsCount = !CellLoad.claim(step.tasks().get(0)).reducesCapacityFor(bestEffort, queue.priority());
+            long taskMillis = estimates.expectedMillis(job.queue().name(), spec.estimateMillis());
+            long stepMillis = 0;
+            for (Task task : step.tasks()) {
+                if (task.run() == null) {
+                    stepMillis += task.done() ? 0 : taskMillis;
+                } else if (runsCount) {
+                    stepMillis += remainingMillis(task.run(), taskMillis, now);
+                }
             }
+            work += stepMillis * spec.demand().milliCores();
+        }
+        return work;
+    }
+
+    /**
+     * Returns the expected remaining time of a run at full speed. That of a best-effort task follows from its reported
+     * progress, as it may have been throttled; other tasks run at full speed, and are too short for reports to help.
+     */
+    static long remainingMillis(Run run, long expectedMillis, Instant now) {
+        if (run.task().step().spec().fills()) {
+            return (long) (expectedMillis * (1 - Math.min(1, run.progressPercent() / FULL_PROGRESS_PERCENT)));
         }
-        return backlog;
+        return Math.max(
+                0, expectedMillis - Duration.between(run.placedAt(), now).toMillis());
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -99,7 +99,7 @@
         this.runManager = new RunManager(context, timings, fencingToken, jobs, this::stepDownAfterRejection);
         this.workerRegistry =
                 new WorkerRegistry(context, fencingToken, timings.maxLease(), formerLeaseExpiry, runManager);
-        this.load = new CellLoad(jobs, workerRegistry, runManager.completionRate());
+        this.load = new CellLoad(jobs, workerRegistry, runManager.bestEffortCompletionRate());
         this.recordsLoader = new CellRecordsLoader(context, this::restore);
     }
 
@@ -293,7 +293,7 @@
                 submit.spec(),
                 submit.queue(),
                 jobs.open(),
-                load.capacity(submit.queue(), context.now()),
+                load.capacity(submit.queue(), submit.spec(), context.now()),
                 load.totalMilliCores(submit.queue()),
                 runManager.estimates(),
                 context.now());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CompletionRate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CompletionRate.java
@@ -5,7 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** Measures the rate at which work completes. Admission uses it to estimate how long the work ahead of a job takes. */
+/**
+ * Measures the rate at which best-effort work completes. Admission uses it to estimate how long the work ahead of a
+ * best-effort job takes: how much processor time such tasks get depends on what the others leave.
+ */
 final class CompletionRate {
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -10,6 +10,7 @@
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 
 /**
@@ -49,7 +50,7 @@
 
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
-    private final CompletionRate completionRate;
+    private final CompletionRate bestEffortCompletionRate;
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
 
@@ -73,7 +74,7 @@
             JobTable jobs,
             Consumer<WorkerState> newerFencingTokenHandler) {
         this.context = context;
-        this.completionRate = new CompletionRate(context.now());
+        this.bestEffortCompletionRate = new CompletionRate(context.now());
         this.timings = timings;
         this.jobs = jobs;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
@@ -112,8 +113,9 @@
         return averageJobWork;
     }
 
-    CompletionRate completionRate() {
-        return completionRate;
+    /** Returns the rate at which best-effort work completes. */
+    CompletionRate bestEffortCompletionRate() {
+        return bestEffortCompletionRate;
     }
 
     /** Returns the learned statistics, to be stored for the next owner. */
@@ -339,12 +341,7 @@
         task.markDone();
         task.step().incrementDoneCount();
         if (run != null) {
-            completionRate.add(
-                    task.step().spec().demand().milliCores()
-                            * estimates.expectedMillis(
-                                    task.job().queue().name(),
-                                    task.step().spec().estimateMillis()),
-                    context.now());
+            recordBestEffortWork(task);
             long durationMillis =
                     Duration.between(run.placedAt(), context.now()).toMillis();
             double slowdown = estimates.recordRun(
@@ -360,6 +357,14 @@
         }
     }
 
+    private void recordBestEffortWork(Task task) {
+        StepSpec spec = task.step().spec();
+        if (spec.fills()) {
+            long expectedMillis = estimates.expectedMillis(task.job().queue().name(), spec.estimateMillis());
+            bestEffortCompletionRate.add(spec.demand().milliCores() * expectedMillis, context.now());
+        }
+    }
+
     @Override
     public void onUnexpectedRun(WorkerState worker, RunReport report) {
         Task task = jobs.task(report.task());
