Add the command analyze: statistics of jobs from the logs of all hosts

Cause: what callers of a queue, size class or data centre get could only be found by reading the logs of all hosts line by line.

ArchitectureTest has one rule more: only WindowChart uses the plotting library and the graphics classes.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/CommandName.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/CommandName.java
@@ -19,6 +19,8 @@
     AUDIT(AuditCommand::new),
     /** Prints the state of an entry host. */
     STATUS(StatusCommand::new),
+    /** Prints statistics of the jobs in the log files of all hosts. */
+    ANALYZE(AnalyzeCommand::new),
     /** Runs a demonstration deployment in one process. */
     DEMO(DemoCommand::new),
     /** Runs a stand-in: a local replacement for a service of the platform. */
--- a/daemon/src/test/java/org/flamingopitch/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/ArchitectureTest.java
@@ -71,6 +71,14 @@
     static final ArchRule PROCESS_BUILDER_IS_NOT_USED =
             noClasses().should().dependOnClassesThat().areAssignableTo(ProcessBuilder.class);
 
+    @ArchTest
+    static final ArchRule ONLY_THE_CHART_USES_PLOTTING_AND_GRAPHICS = noClasses()
+            .that()
+            .doNotHaveFullyQualifiedName("org.flamingopitch.daemon.analysis.WindowChart")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.jfree..", "java.awt..", "javax.imageio..");
+
     @ArchTest
     static final ArchRule MODEL_RECORDS_ARE_PUBLIC = classes()
             .that()
--- /dev/null
+++ b/daemon/src/test/java/org/flamingopitch/daemon/analysis/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the offline analysis of logs. */
+package org.flamingopitch.daemon.analysis;
