Check an operator's configuration before it is sent

Cause: a host that receives an unreadable configuration logs its first error and keeps the former one; routes that can never match, and a version that is not higher, have no effect and are not reported at all.

It reports all errors at once, each with its JSON pointer, what was found and what is allowed, warnings, and what differs from another configuration.

A service that no route names is a warning too.

--- a/daemon/src/test/java/org/flamingopitch/daemon/cli/MainTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cli/MainTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -10,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.flamingopitch.coordination.api.JsonCodec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -103,21 +105,65 @@
         assertThat(name.create().summary()).endsWith(".");
     }
 
+    @Test
+    void operatorConfigurationIsRejectedWithAllErrorsAndDifferencesArePrinted(@TempDir Path folder) throws IOException {
+        String valid = """
+                {"version":7,"services":["s"],"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"s",
+                 "targetLatencyMs":3000}]}""";
+        Path former = writeDocument(folder, valid);
+        CommandResult accepted = run("check", "--operator-configuration", former.toString());
+        assertThat(accepted.code).isEqualTo(ExitCode.OK);
+        Path next = Files.writeString(
+                folder.resolve("next.json"), valid.replace("\"service\":\"s\"", "\"service\":\"t\",\"timeoutMs\":0"));
+        CommandResult rejected =
+                run("check", "--operator-configuration", next.toString(), "--against", former.toString());
+        assertThat(rejected.code).isEqualTo(ExitCode.INVALID_DOCUMENT);
+        assertThat(rejected.errors)
+                .contains("/version")
+                .contains("/routes/0/service")
+                .contains("/routes/0/timeoutMs: found 0; allowed: an integer from 1");
+        assertThat(rejected.errors.lines()).hasSize(1);
+        assertThat(rejected.output)
+                .contains("route q: service changed from \"s\" to \"t\"")
+                .contains("warning: /services/0");
+        CommandResult json =
+                run("check", "--json", "--operator-configuration", next.toString(), "--against", former.toString());
+        assertThat(json.code).isEqualTo(ExitCode.INVALID_DOCUMENT);
+        JsonNode report = JsonCodec.json().mapper().readTree(json.output);
+        assertThat(report.path("findings")).hasSize(4);
+        assertThat(report.at("/differences/0/field").asText()).isEqualTo("service");
+    }
+
+    @Test
+    void operatorConfigurationThatIsNoJsonIsReportedWithItsPosition(@TempDir Path folder) throws IOException {
+        Path file = writeDocument(folder, "{\n\"version\": }");
+        CommandResult result = run("check", "--operator-configuration", file.toString());
+        assertThat(result.code).isEqualTo(ExitCode.INVALID_DOCUMENT);
+        assertThat(result.errors).contains("line 2");
+        assertThat(run("check", "--settings", file.toString(), "--against", file.toString()).code)
+                .isEqualTo(ExitCode.USAGE);
+    }
+
     private static Path writeDocument(Path folder, String text) throws IOException {
         return Files.writeString(folder.resolve("document.json"), text);
     }
 
     private static CommandResult run(String... args) {
         PrintStream originalErrors = System.err;
+        PrintStream originalOutput = System.out;
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
         System.setErr(new PrintStream(errors, true, StandardCharsets.UTF_8));
+        System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
         try {
             ExitCode code = Main.run(args);
-            return new CommandResult(code, errors.toString(StandardCharsets.UTF_8));
+            return new CommandResult(
+                    code, errors.toString(StandardCharsets.UTF_8), output.toString(StandardCharsets.UTF_8));
         } finally {
             System.setErr(originalErrors);
+            System.setOut(originalOutput);
         }
     }
 
-    private record CommandResult(ExitCode code, String errors) {}
+    private record CommandResult(ExitCode code, String errors, String output) {}
 }
