Start no tasks in data centres under evacuation

Cause: operators evacuate a data centre by the key op/evacuate/ZONE, and from evacuateMs after that no task may start there. The key was not read.

Change: OperatorRequestWatcher (before ConfigurationWatcher) watches op/ and passes the evacuated data centres on with each answer of the store. Their workers are not usable; their reservations end; unanswered starts there are stopped instead of repeated; long-running tasks leave one at a time for each step, to a reserved worker that has capacity and where they meet their target. An owner places nothing before the requests were read, and nothing when the store has not confirmed them for 4 s. In deployments with evacuateMs the lease of a start is evacuateMs less 1 s, so that a worker rejects a delayed one.

Conclusion: long-running tasks stay while no other data centre has capacity for them. The budget of a step is not checked yet.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -32,6 +32,8 @@
 
     private final List<Consumer<KeyValueEntry>> listeners = new ArrayList<>();
 
+    private final List<Runnable> answerListeners = new ArrayList<>();
+
     private long revision;
 
     private int completeLists;
@@ -76,6 +78,16 @@
         listeners.add(listener);
     }
 
+    /**
+     * Adds a listener that runs after all changes of an answer of the store have been passed to the other listeners,
+     * also if there were none.
+     *
+     * @param listener runs after each answer
+     */
+    public void addAnswerListener(Runnable listener) {
+        answerListeners.add(listener);
+    }
+
     /** Starts the list and watch requests. */
     public void start() {
         sendList();
@@ -165,6 +177,7 @@
                 if (list.revision() >= revision) {
                     applyList(list);
                 }
+                answerListeners.forEach(Runnable::run);
             } finally {
                 sendWatch();
             }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -12,7 +12,7 @@
 import org.flamingopitch.coordination.supervisor.Service;
 import org.flamingopitch.coordination.supervisor.Supervisor;
 import org.flamingopitch.platform.CallerHttpHandler;
-import org.flamingopitch.platform.ConfigurationWatcher;
+import org.flamingopitch.platform.OperatorRequestWatcher;
 import org.flamingopitch.platform.PlatformSettings;
 import org.flamingopitch.platform.StoreClient;
 import org.flamingopitch.platform.WorkerClient;
@@ -69,7 +69,7 @@
 
     private final CellNode node;
 
-    private final ConfigurationWatcher configurationWatcher;
+    private final OperatorRequestWatcher operatorRequestWatcher;
 
     private final Supervisor supervisor;
 
@@ -124,7 +124,7 @@
                 additionalAddresses(settings),
                 new HttpRoutes().onUnmatched(call -> handleHttpCall(call, callerHandler)),
                 1);
-        configurationWatcher = new ConfigurationWatcher(context, node::configure);
+        operatorRequestWatcher = new OperatorRequestWatcher(context, node::configure, node::evacuate);
         supervisor = new Supervisor("host", clock, onFailure);
         supervisor.add(loop);
         supervisor.add(platformClient);
@@ -160,7 +160,7 @@
         supervisor.start();
         loop.publish(() -> {
             node.start();
-            configurationWatcher.start();
+            operatorRequestWatcher.start();
         });
     }
 
@@ -267,7 +267,7 @@
         runGuarded(context::runTimers);
         runGuarded(node::tick);
         ready = !draining && node.ready();
-        metrics.updateGauges(node.ownsCell(), node.openJobs());
+        metrics.updateGauges(node.ownsCell(), node.openJobs(), node.evacuatedDataCentres());
     }
 
     private static void reportLoopFailure(Throwable error, Consumer<String> onFailure) {
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -12,9 +12,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.LongSupplier;
+import org.flamingopitch.scheduler.cell.disruption.MoveListener;
+import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 
 /** Records the metrics of a {@link CellHost} and writes them in the Prometheus text format. */
-final class CellMetrics {
+final class CellMetrics implements MoveListener {
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -61,6 +63,17 @@
             .help("Jobs that are accepted and not at their end, on the owner.")
             .register(registry);
 
+    private final Gauge evacuatedDataCentres = Gauge.builder()
+            .name("flamingopitch_evacuated_data_centres")
+            .help("Data centres under evacuation, as far as this host knows.")
+            .register(registry);
+
+    private final Counter moves = Counter.builder()
+            .name("flamingopitch_moves_total")
+            .help("Long-running tasks that were stopped in order to run on another worker, by reason.")
+            .labelNames("reason")
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -99,9 +112,15 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
-    void updateGauges(boolean ownsCell, int openJobCount) {
+    @Override
+    public void onMoved(MoveReason reason) {
+        moves.labelValues(reason.label()).inc();
+    }
+
+    void updateGauges(boolean ownsCell, int openJobCount, int evacuatedDataCentreCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
+        evacuatedDataCentres.set(evacuatedDataCentreCount);
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.owner.CellOwner;
@@ -55,6 +56,11 @@
     /** The request of a process that this owner hands the cell over to when all changes are durable, or null. */
     private JobRequest.RequestOwnership handover;
 
+    /** The names of the data centres under evacuation; null before they are known for the first time. */
+    private Set<String> evacuatedDataCentres;
+
+    private Instant evacuationsConfirmedAt = Instant.MIN;
+
     private boolean draining;
 
     /** When this owner gives the cell up even if a change is not durable. */
@@ -99,6 +105,29 @@
         }
     }
 
+    /**
+     * Sets which data centres are under evacuation. An owner places nothing before they are known, and after the store
+     * has not confirmed them for a few seconds; they remain in force while the store cannot be reached.
+     *
+     * @param dataCentres the names of all data centres under evacuation
+     */
+    public void evacuate(Set<String> dataCentres) {
+        evacuatedDataCentres = Set.copyOf(dataCentres);
+        evacuationsConfirmedAt = context.now();
+        if (ownedCell != null) {
+            ownedCell.evacuate(evacuatedDataCentres, evacuationsConfirmedAt);
+        }
+    }
+
+    /**
+     * Counts the data centres under evacuation.
+     *
+     * @return the number that this process knows of
+     */
+    public int evacuatedDataCentres() {
+        return evacuatedDataCentres == null ? 0 : evacuatedDataCentres.size();
+    }
+
     /**
      * Handles a caller's request.
      *
@@ -241,6 +270,9 @@
                 election,
                 version,
                 requestHandler.configuration().orElse(noQueues));
+        if (evacuatedDataCentres != null) {
+            ownedCell.evacuate(evacuatedDataCentres, evacuationsConfirmedAt);
+        }
         ownedCell.start();
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
@@ -63,13 +63,13 @@
         return sum;
     }
 
-    /** Returns the processor time of all workers of a queue's service that are not draining, in millicores. */
+    /** Returns the processor time of all workers of a queue's service that are neither draining nor in a data centre under evacuation, in millicores. */
     long totalMilliCores(QueueSpec queue) {
         long sum = 0;
         for (WorkerState worker : workerRegistry.workers()) {
-            boolean servesQueue =
-                    worker.registered() && worker.entry().service().equals(queue.service());
-            sum += servesQueue && !worker.draining() ? worker.entry().capacity().milliCores() : 0;
+            boolean counts =
+                    workerRegistry.accepting(worker) && worker.entry().service().equals(queue.service());
+            sum += counts ? worker.entry().capacity().milliCores() : 0;
         }
         return sum;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -60,6 +62,11 @@
     /** The longest time for which a worker may hold a lease, by the clock of this process. */
     private final Duration longestLease;
 
+    private final Evacuations evacuations = new Evacuations();
+
+    /** When the store last confirmed which data centres are under evacuation. */
+    private Instant evacuationsConfirmedAt = Instant.MIN;
+
     private CellConfiguration configuration;
 
     private CommitLog commitLog;
@@ -92,8 +99,8 @@
         Instant formerLeaseExpiry =
                 electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
         this.runManager = new RunManager(context, timings, fencingToken, jobs, this::stepDownAfterRejection);
-        this.workerRegistry =
-                new WorkerRegistry(context, fencingToken, timings.maxLease(), formerLeaseExpiry, runManager);
+        this.workerRegistry = new WorkerRegistry(
+                context, fencingToken, timings.maxLease(), formerLeaseExpiry, evacuations, runManager);
         this.load = new CellLoad(jobs, workerRegistry, runManager.completionRate());
         this.recordsLoader = new CellRecordsLoader(context, this::restore);
     }
@@ -163,6 +170,20 @@
         runManager.requestPlacement();
     }
 
+    /**
+     * Sets which data centres are under evacuation. Their workers get no new tasks; before the first call no worker does.
+     *
+     * @param dataCentres the names of all data centres under evacuation
+     * @param confirmedAt when the store last confirmed them
+     */
+    public void evacuate(Set<String> dataCentres, Instant confirmedAt) {
+        evacuationsConfirmedAt = confirmedAt;
+        if (evacuations.update(dataCentres)) {
+            workerRegistry.applyEvacuations();
+            runManager.requestPlacement();
+        }
+    }
+
     /**
      * Executes a caller's request. Requests that come before the records are loaded wait for them.
      *
@@ -242,6 +263,17 @@
         return context.now().isBefore(election.confirmedAt().plus(MAX_UNCONFIRMED_TIME));
     }
 
+    /**
+     * Returns whether tasks may be placed and started: this process may act, and the store has confirmed recently enough
+     * which data centres are under evacuation. After an outage of the store, its ownership may be confirmed earlier than
+     * a request that was made during the outage is read.
+     */
+    private boolean mayPlace() {
+        return evacuations.known()
+                && context.now().isBefore(evacuationsConfirmedAt.plus(MAX_UNCONFIRMED_TIME))
+                && mayAct();
+    }
+
     private void restore(
             long ledgerVersion,
             Map<JobId, JobRecord> records,
@@ -257,7 +289,7 @@
         });
         commitLog = new CommitLog(
                 context, fencingToken, ledgerVersion, runManager::learnedStatistics, new CommitListener());
-        runManager.startPlacing(commitLog, workerRegistry, this::mayAct);
+        runManager.startPlacing(commitLog, workerRegistry, this::mayPlace);
         LOGGER.atInfo().log(
                 "event=cell_loaded fence=%d jobs=%d open=%d ms=%d",
                 fencingToken,
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
@@ -10,10 +10,13 @@
  * @param gangTimeout how long a started task of a gang (tasks that must run at the same time) waits for the others
  * @param stopTimeout how long a worker may take to stop a run
  * @param unavailableAfter how long a long-running task may be down before it counts as unavailable
+ * @param evacuationLimit from when after the request no task may start in an evacuated data centre; zero if the
+ *     deployment has no evacuations
  */
 public record CellTimings(
         Duration maxLease,
         Duration doneJobRetention,
         Duration gangTimeout,
         Duration stopTimeout,
-        Duration unavailableAfter) {}
+        Duration unavailableAfter,
+        Duration evacuationLimit) {}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
@@ -195,6 +195,15 @@
         return Math.min(expected, ownHeadroom + MAX_MEASUREMENT_NOISE);
     }
 
+    /**
+     * Returns the headroom ratio that a latency-critical task of the step would have on a worker now, beside the
+     * best-effort tasks there; 0 if the effect of one of these is unknown.
+     */
+    double predictHeadroom(Step step, WorkerState worker, Instant now) {
+        LatencyHeadroom headroom = headroomBeside(worker, model(step.spec()), headroomAlone(step, now));
+        return headroom.trialRunning() ? 0 : headroom.headroom();
+    }
+
     private double headroomAlone(Step step, Instant now) {
         return step.headroomAloneKnown(HEADROOM_ALONE_VALIDITY, now)
                 ? step.headroomAlone()
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -52,13 +52,22 @@
             scoreAll();
         }
 
-        /** Returns the worker with the highest score that may run the task, or null if there is none. */
+        /**
+         * Returns the worker that the task is being moved to, else the worker with the highest score that may run the
+         * task, or null if there is none.
+         */
         PlacementCandidate findBest(Task task) {
             int bestIndex = -1;
             double bestScore = PlacementPolicy.NOT_PERMITTED;
             for (int i = 0; i < scores.length; i++) {
                 WorkerState worker = candidates.get(i).worker();
                 Task reservedFor = worker.reservedFor(now);
+                boolean isMoveTarget = reservedFor == task && task.moving();
+                if (isMoveTarget
+                        && scores[i] > PlacementPolicy.NOT_PERMITTED
+                        && candidates.get(i).admits(task)) {
+                    return candidates.get(i);
+                }
                 if (scores[i] <= bestScore
                         || reservedFor != null && reservedFor != task
                         || !candidates.get(i).admits(task)) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.disruption.EvacuationLimit;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
@@ -43,6 +44,8 @@
 
     private final CrashAttribution crashAttribution = new CrashAttribution();
 
+    private final PlacementPolicy placementPolicy;
+
     private final TaskPlacer placer;
 
     private final DurationEstimates estimates = new DurationEstimates();
@@ -77,9 +80,10 @@
         this.timings = timings;
         this.jobs = jobs;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
-        this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
+        this.orderSender = new WorkerOrderSender(
+                context, fencingToken, EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
-        PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
+        this.placementPolicy = new PlacementPolicy(health, interference);
         this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
@@ -93,7 +97,14 @@
     void startPlacing(CommitLog newCommitLog, WorkerRegistry newWorkerRegistry, BooleanSupplier mayActNow) {
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
-        runMover = new RunMover(orderSender, newWorkerRegistry, estimates, health);
+        runMover = new RunMover(
+                context.moveListener(),
+                orderSender,
+                newWorkerRegistry,
+                estimates,
+                health,
+                placementPolicy,
+                interference);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
 
@@ -183,7 +194,7 @@
     }
 
     /**
-     * Places waiting tasks, repeats orders, moves runs off draining workers and removes old jobs, as far as they are
+     * Places waiting tasks, repeats orders, moves runs off draining and evacuated workers and removes old jobs, as far as they are
      * due.
      */
     void tick() {
@@ -195,10 +206,15 @@
         lastTickAt = now;
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
+        runMover.startTick(now);
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
+            boolean evacuated = workerRegistry.evacuated(worker);
             for (Run run : List.copyOf(worker.runs())) {
+                if (evacuated) {
+                    orderSender.stopIfStartUnanswered(run);
+                }
                 orderSender.repeatOrderIfDue(run);
-                runMover.moveIfDrainingOrStalled(run, now);
+                runMover.moveIfRequired(run, now);
             }
         }
         for (Job job : List.copyOf(jobs.all())) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -3,8 +3,18 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.flamingopitch.scheduler.cell.disruption.MoveListener;
+import org.flamingopitch.scheduler.cell.disruption.MoveReason;
+import org.flamingopitch.scheduler.cell.disruption.StepAvailability;
 
-/** Moves long-running tasks off draining workers, and tasks whose run has stalled to other workers. */
+/**
+ * Moves long-running tasks off draining workers and out of evacuated data centres, and tasks whose run has stalled to
+ * other workers.
+ */
 final class RunMover {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -17,6 +27,20 @@
 
     private static final int FULL_SPEED_PERCENT = 100;
 
+    /** How long the target of a move stays reserved; a stop takes less than a second. */
+    private static final Duration RESERVATION_DURATION = Duration.ofMillis(3_500);
+
+    /**
+     * Bounds the processor time: a search looks at all workers. Evacuating a data centre with a thousand steps then takes
+     * 25 s, as each step moves one task at a time anyway.
+     */
+    private static final int MAX_SEARCHES_PER_TICK = 2;
+
+    /** How long tasks are not searched a target for after no worker had capacity for one with at most their demand. */
+    private static final Duration FAILED_SEARCH_DELAY = Duration.ofSeconds(1);
+
+    private final MoveListener moveListener;
+
     private final WorkerOrderSender orderSender;
 
     private final WorkerRegistry workerRegistry;
@@ -25,30 +49,132 @@
 
     private final WorkerHealth health;
 
+    private final PlacementPolicy placementPolicy;
+
+    private final InterferenceEstimator interference;
+
+    /** The steps whose tasks were counted in this tick, without those whose counts have changed since. */
+    private final Map<Step, StepAvailability> availabilities = new HashMap<>();
+
+    private FailedPlacements failedSearches = new FailedPlacements();
+
+    /** The steps of the failed searches, since a failure under a limit of tasks per worker is not among the placements. */
+    private final Set<Step> stepsWithoutTarget = new HashSet<>();
+
+    private Instant failedSearchesSince = Instant.MIN;
+
+    private int searchesLeft;
+
     RunMover(
+            MoveListener moveListener,
             WorkerOrderSender orderSender,
             WorkerRegistry workerRegistry,
             DurationEstimates estimates,
-            WorkerHealth health) {
+            WorkerHealth health,
+            PlacementPolicy placementPolicy,
+            InterferenceEstimator interference) {
+        this.moveListener = moveListener;
         this.orderSender = orderSender;
         this.workerRegistry = workerRegistry;
         this.estimates = estimates;
         this.health = health;
+        this.placementPolicy = placementPolicy;
+        this.interference = interference;
     }
 
-    /** Stops a run so that its task is placed on another worker: its worker drains, or it is stalled. */
-    void moveIfDrainingOrStalled(Run run, Instant now) {
+    /** Begins a pass over all runs. */
+    void startTick(Instant now) {
+        availabilities.clear();
+        searchesLeft = MAX_SEARCHES_PER_TICK;
+        if (!now.isBefore(failedSearchesSince.plus(FAILED_SEARCH_DELAY))) {
+            failedSearches = new FailedPlacements();
+            stepsWithoutTarget.clear();
+            failedSearchesSince = now;
+        }
+    }
+
+    /**
+     * Stops a run so that its task is placed on another worker: its worker drains, its data centre is under evacuation,
+     * or it is stalled.
+     */
+    void moveIfRequired(Run run, Instant now) {
         if (run.phase() != RunPhase.RUNNING || !run.task().job().open()) {
             return;
         }
-        boolean longRunning = run.task().step().spec().lasting();
-        if (run.worker().draining() && longRunning) {
-            LOGGER.atInfo().log(
-                    "event=evacuated task=%s run=%d worker=%s",
-                    run.task().ref(), run.number(), run.worker().id());
-            orderSender.stop(run);
+        if (run.task().step().spec().lasting()) {
+            if (run.worker().draining()) {
+                move(run, MoveReason.DRAINING);
+            } else if (workerRegistry.evacuated(run.worker())) {
+                moveOutOfDataCentre(run, now);
+            }
             return;
         }
+        stopIfStalled(run, now);
+    }
+
+    /** Moves a long-running task if no other task of its step is down and a worker can take it over. */
+    private void moveOutOfDataCentre(Run run, Instant now) {
+        Task task = run.task();
+        int othersUnavailable = availability(task.step()).unavailable() - (task.atWork() ? 0 : 1);
+        if (othersUnavailable > 0 || searchesLeft == 0 || searchFails(task.step())) {
+            return;
+        }
+        WorkerState target = findTarget(task, now);
+        if (target == null) {
+            failedSearches.add(task.step());
+            stepsWithoutTarget.add(task.step());
+            return;
+        }
+        target.reserveFor(task, now.plus(RESERVATION_DURATION));
+        task.markMoving();
+        move(run, MoveReason.EVACUATION);
+    }
+
+    private void move(Run run, MoveReason reason) {
+        Step step = run.task().step();
+        StepAvailability availability = availability(step);
+        LOGGER.atInfo().log(
+                "event=evacuated task=%s run=%d worker=%s reason=%s unavailable=%d max=%d",
+                run.task().ref(),
+                run.number(),
+                run.worker().id(),
+                reason.label(),
+                availability.unavailable(),
+                availability.maxUnavailable());
+        moveListener.onMoved(reason);
+        orderSender.stop(run);
+        availabilities.remove(step);
+    }
+
+    private boolean searchFails(Step step) {
+        return stepsWithoutTarget.contains(step) || failedSearches.covers(step);
+    }
+
+    private StepAvailability availability(Step step) {
+        return availabilities.computeIfAbsent(step, Step::availability);
+    }
+
+    /** Returns the best worker that has free capacity for a long-running task and where it meets its target, or null. */
+    private WorkerState findTarget(Task task, Instant now) {
+        searchesLeft--;
+        PlacementPass pass = placementPolicy.startPass(
+                workerRegistry.workers(), worker -> canTakeOver(task.step(), worker, now), now);
+        PlacementCandidate candidate = pass.search(task.step()).findBest(task);
+        return candidate == null ? null : candidate.worker();
+    }
+
+    private boolean canTakeOver(Step step, WorkerState worker, Instant now) {
+        if (!workerRegistry.usable(worker, now)
+                || worker.reservedFor(now) != null
+                || !step.spec().reserved().fitsInto(worker.free())
+                || worker.entry().warmUpRemainingMillis() > 0
+                || health.quarantined(worker.id(), now)) {
+            return false;
+        }
+        return !step.spec().latencyCritical() || interference.predictHeadroom(step, worker, now) >= 1;
+    }
+
+    private void stopIfStalled(Run run, Instant now) {
         Duration expected = Duration.ofMillis(2
                 * estimates.expectedMillis(
                         run.task().job().queue().name(),
@@ -56,7 +182,7 @@
         boolean overdue = now.isAfter(run.placedAt().plus(expected).plus(STALL_TIMEOUT));
         boolean stalled = now.isAfter(run.progressAt().plus(STALL_TIMEOUT)) && workerRegistry.answering(run.worker());
         boolean throttled = run.throttledToPercent() != FULL_SPEED_PERCENT;
-        if (!longRunning && overdue && stalled && !throttled) {
+        if (overdue && stalled && !throttled) {
             LOGGER.atWarning().log(
                     "event=stalled task=%s run=%d worker=%s percent=%.0f",
                     run.task().ref(), run.number(), run.worker().id(), run.progressPercent());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.flamingopitch.scheduler.cell.disruption.StepAvailability;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 
@@ -95,6 +96,17 @@
         headroomAloneAt = now;
     }
 
+    /** Counts the long-running tasks that are not at work. */
+    StepAvailability availability() {
+        int unavailable = 0;
+        int unreported = 0;
+        for (Task task : tasks) {
+            unavailable += task.atWork() ? 0 : 1;
+            unreported += task.awaitsFirstReport() ? 1 : 0;
+        }
+        return new StepAvailability(unavailable, unreported, spec.maxUnavailable());
+    }
+
     int remainingCount() {
         return Math.max(0, tasks.size() - doneCount);
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -12,6 +12,8 @@
  */
 final class Task {
 
+    private static final int AT_WORK_PERCENT = 100;
+
     private final Step step;
 
     private final TaskRef ref;
@@ -38,6 +40,9 @@
     /** The worker that was last reserved for this task, or null. */
     private WorkerState reservedWorker;
 
+    /** Whether the present run is being stopped so that the task runs on the worker that is reserved for it. */
+    private boolean moving;
+
     private Instant retryNotBefore = Instant.MIN;
 
     private Instant waitingSince;
@@ -102,6 +107,7 @@
     /** Creates the next run of the task, on a worker. */
     Run place(WorkerState worker, Instant now) {
         lastRunNumber++;
+        moving = false;
         run = new Run(this, worker, lastRunNumber, now);
         return run;
     }
@@ -210,6 +216,30 @@
         return reservedWorker != null && reservedWorker.reservedFor(now) == this;
     }
 
+    /** Returns whether a long-running task is at work: a run that is not being stopped reports its progress as full. */
+    boolean atWork() {
+        return run != null && run.phase() == RunPhase.RUNNING && run.progressPercent() >= AT_WORK_PERCENT;
+    }
+
+    /** Returns whether the task has a run that a former owner recorded and no report has shown since. */
+    boolean awaitsFirstReport() {
+        return run != null && run.phase() == RunPhase.SENT && run.confirmed();
+    }
+
+    /** Marks the task as being moved to the worker that is reserved for it. */
+    void markMoving() {
+        moving = true;
+    }
+
+    boolean moving() {
+        return moving;
+    }
+
+    /** Returns whether the task has no run, or its run is being stopped in order to be moved. */
+    boolean awaitsPlacement() {
+        return run == null || moving && run.phase() == RunPhase.STOPPING;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -26,14 +26,15 @@
 
     private final long fencingToken;
 
-    private final Duration leaseDuration;
+    /** The lease that a start grants; a worker carries out no start after its end. */
+    private final Duration startLease;
 
     private final RunListener listener;
 
-    WorkerOrderSender(CellContext context, long fencingToken, Duration leaseDuration, RunListener listener) {
+    WorkerOrderSender(CellContext context, long fencingToken, Duration startLease, RunListener listener) {
         this.context = context;
         this.fencingToken = fencingToken;
-        this.leaseDuration = leaseDuration;
+        this.startLease = startLease;
         this.listener = listener;
     }
 
@@ -82,6 +83,13 @@
         });
     }
 
+    /** Stops a run whose start is known to have got no answer, instead of repeating the start. */
+    void stopIfStartUnanswered(Run run) {
+        if (run.phase() == RunPhase.SENT && run.unansweredOrders() > 0 && !run.orderInFlight()) {
+            stop(run);
+        }
+    }
+
     /** Sends the last order of a run again if its outcome is unknown and the retry delay is over. */
     void repeatOrderIfDue(Run run) {
         if (run.orderInFlight()
@@ -101,7 +109,7 @@
             return;
         }
         run.markOrderSent();
-        long leaseEnd = run.worker().grantLease(leaseDuration, context.now());
+        long leaseEnd = run.worker().grantLease(startLease, context.now());
         WorkerOrder order = new WorkerOrder.Start(
                 run.task().ref(),
                 run.number(),
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
@@ -48,6 +49,8 @@
 
     private Instant formerLeaseExpiry;
 
+    private final Evacuations evacuations;
+
     private final RunListener listener;
 
     private final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
@@ -65,17 +68,20 @@
      * Creates a registry without workers.
      *
      * @param formerLeaseExpiry when all leases of a former owner have expired on workers that cannot be reached
+     * @param evacuations the data centres whose workers get no new work
      */
     WorkerRegistry(
             CellContext context,
             long fencingToken,
             Duration leaseDuration,
             Instant formerLeaseExpiry,
+            Evacuations evacuations,
             RunListener listener) {
         this.context = context;
         this.fencingToken = fencingToken;
         this.leaseDuration = leaseDuration;
         this.formerLeaseExpiry = formerLeaseExpiry;
+        this.evacuations = evacuations;
         this.listener = listener;
     }
 
@@ -117,14 +123,42 @@
 
     /** Returns whether new work may be placed on a worker. */
     boolean usable(WorkerState worker, Instant now) {
-        return worker.registered()
-                && !worker.draining()
+        return accepting(worker)
                 && !worker.hasUnknownRuns()
                 && !worker.replaced()
                 && !worker.missingFor(MISSING_GRACE_PERIOD, now)
                 && answering(worker);
     }
 
+    /** Returns whether a worker is registered, does not drain, and is in no data centre under evacuation. */
+    boolean accepting(WorkerState worker) {
+        return worker.registered() && !worker.draining() && !evacuated(worker);
+    }
+
+    /** Returns whether a worker is in a data centre under evacuation. */
+    boolean evacuated(WorkerState worker) {
+        return worker.registered() && evacuations.covers(worker.entry().dataCentre());
+    }
+
+    /** Applies a change of the evacuated data centres: ends the reservations of their workers. */
+    void applyEvacuations() {
+        for (WorkerState worker : workers.values()) {
+            if (evacuated(worker)) {
+                worker.endReservation();
+            }
+        }
+        logEvacuations();
+    }
+
+    private void logEvacuations() {
+        if (listed) {
+            evacuations.logStarted(dataCentre -> workers.values().stream()
+                    .filter(worker ->
+                            worker.registered() && worker.entry().dataCentre().equals(dataCentre))
+                    .count());
+        }
+    }
+
     /** Polls a worker as soon as no call to it is in flight. */
     void pollSoon(WorkerState worker) {
         WorkerPoller poller = pollers.get(worker.id());
@@ -256,6 +290,7 @@
                 worker.markMissing(now);
             }
         }
+        logEvacuations();
         if (changed) {
             listener.onWorkersChanged();
         }
@@ -271,6 +306,7 @@
         boolean changed = previous == null
                 || previous.draining() != entry.draining()
                 || previous.incarnation() != entry.incarnation()
+                || !previous.dataCentre().equals(entry.dataCentre())
                 || !previous.capacity().equals(entry.capacity());
         if (changed) {
             LOGGER.atInfo().log(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -355,7 +355,7 @@
 
     /** Returns the task that the worker's free capacity is reserved for, or null. */
     Task reservedFor(Instant now) {
-        return reservationTask != null && reservationTask.run() == null && now.isBefore(reservedUntil)
+        return reservationTask != null && reservationTask.awaitsPlacement() && now.isBefore(reservedUntil)
                 ? reservationTask
                 : null;
     }
@@ -370,6 +370,10 @@
         task.setReservedWorker(this);
     }
 
+    void endReservation() {
+        reservationTask = null;
+    }
+
     Resources reserved() {
         return reserved;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
+import org.flamingopitch.scheduler.cell.disruption.MoveListener;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -32,4 +33,11 @@
      * @param handler receives the registrations, or a failure, exactly once
      */
     void listWorkers(Consumer<WorkerListing> handler);
+
+    /**
+     * Returns the listener that counts moves of long-running tasks.
+     *
+     * @return the listener
+     */
+    MoveListener moveListener();
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -15,6 +15,8 @@
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.coordination.loop.TimerQueue;
+import org.flamingopitch.scheduler.cell.disruption.MoveListener;
+import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.entry.CallerJobRequest;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
@@ -25,7 +27,6 @@
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
-import org.flamingopitch.scheduler.cell.owner.CellTimings;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.scheduler.cell.port.CellContext;
@@ -33,7 +34,6 @@
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
-import org.flamingopitch.scheduler.model.Resources;
 
 /** A simulated cell: hosts, workers and a store on one clock that the test advances, without network and threads. */
 public final class CellSession {
@@ -66,6 +66,8 @@
 
     private final SplittableRandom random;
 
+    private final RecordedMoves moves = new RecordedMoves();
+
     private Instant now = START_TIME;
 
     private CellConfiguration configuration = InitialConfiguration.create();
@@ -171,6 +173,7 @@
         Host host = new Host(name, processors);
         hosts.put(name, host);
         host.node.start();
+        EvacuationRequests.watch(host, host.node);
         host.node.configure(configuration);
     }
 
@@ -236,6 +239,15 @@
         return store;
     }
 
+    /**
+     * Returns the reasons for which the owners have moved long-running tasks.
+     *
+     * @return a reason for each move, in their order
+     */
+    public List<MoveReason> moves() {
+        return moves.reasons();
+    }
+
     /**
      * Returns a worker.
      *
@@ -316,23 +328,7 @@
      * @return the specification
      */
     public static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, 0),
-                1_000,
-                after,
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                longRunning,
-                null,
-                0,
-                false,
-                0);
+        return SampleSteps.step(count, milliCores, longRunning, after, 0);
     }
 
     /**
@@ -349,10 +345,6 @@
                 .toList();
     }
 
-    private static KeyValueResult connectionReset() {
-        return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
-    }
-
     private long clockMillis() {
         return Duration.between(START_TIME, now).toMillis();
     }
@@ -374,10 +366,7 @@
         private Host(String name, double processors) {
             startedHosts++;
             self = new OwnerRecord(new ProcessId(name + "." + startedHosts), name, processors);
-            Duration second = Duration.ofSeconds(1);
-            CellTimings timings = new CellTimings(
-                    Duration.ofSeconds(6), Duration.ofSeconds(120), second.multipliedBy(3), second, second);
-            node = new CellNode(this, this, self, timings);
+            node = new CellNode(this, this, self, InitialConfiguration.timings());
         }
 
         @Override
@@ -412,7 +401,7 @@
 
         private void executeStoreCall(KeyValueRequest request, Instant receivedAt, Consumer<KeyValueResult> handler) {
             if (storeConnectionsReset || !partitions.reachesStore(self.address())) {
-                answer(Duration.ZERO, () -> handler.accept(connectionReset()));
+                answer(Duration.ZERO, () -> handler.accept(FakeStore.failure("connection reset")));
                 return;
             }
             KeyValueResult result = store.apply(request);
@@ -433,7 +422,7 @@
             if (request.changesStore() && executionDelay < MAX_LATE_EXECUTION_MILLIS) {
                 pendingCalls.add(now.plusMillis(executionDelay), () -> store.apply(request));
             }
-            answer(latency, () -> handler.accept(connectionReset()));
+            answer(latency, () -> handler.accept(FakeStore.failure("connection reset")));
         }
 
         @Override
@@ -453,6 +442,11 @@
             });
         }
 
+        @Override
+        public MoveListener moveListener() {
+            return moves;
+        }
+
         @Override
         public void listWorkers(Consumer<WorkerListing> handler) {
             answer(
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -35,6 +35,12 @@
 
     private long revision = 1;
 
+    /** Watches of changes after an earlier revision than this fail. */
+    private long historyStart;
+
+    /** Calls that read keys with this prefix fail; null for none. */
+    private String unreadablePrefix;
+
     private boolean unavailable;
 
     private boolean answersLost;
@@ -95,6 +101,41 @@
         return entries.containsKey(key) ? entries.get(key).value() : null;
     }
 
+    /**
+     * Writes a key, as the platform or an operator does.
+     *
+     * @param key the key
+     * @param value its value
+     */
+    public void write(String key, String value) {
+        transact(new KeyValueRequest.Transaction(
+                List.of(), List.of(new KeyValueRequest.Write(key, value, null)), List.of()));
+    }
+
+    /**
+     * Removes a key, as the platform or an operator does.
+     *
+     * @param key the key
+     */
+    public void remove(String key) {
+        transact(new KeyValueRequest.Transaction(List.of(), List.of(), List.of(key)));
+    }
+
+    /** Forgets all former changes; a watch that asks for one of them fails. */
+    public void dropHistory() {
+        history.clear();
+        historyStart = revision;
+    }
+
+    /**
+     * Lets all lists and watches of a prefix fail.
+     *
+     * @param prefix the prefix, or null for none
+     */
+    public void setUnreadablePrefix(String prefix) {
+        unreadablePrefix = prefix;
+    }
+
     /**
      * Executes a request.
      *
@@ -110,7 +151,11 @@
     }
 
     private static KeyValueResult noAnswer() {
-        return new KeyValueResult.Failed(new Failure("store", "fake", "no answer"));
+        return failure("no answer");
+    }
+
+    static KeyValueResult failure(String detail) {
+        return new KeyValueResult.Failed(new Failure("store", "fake", detail));
     }
 
     private KeyValueResult execute(KeyValueRequest request) {
@@ -119,9 +164,15 @@
             return entry == null ? new KeyValueResult.Missing() : new KeyValueResult.Found(entry);
         }
         if (request instanceof KeyValueRequest.ListPrefix list) {
+            if (list.prefix().equals(unreadablePrefix)) {
+                return noAnswer();
+            }
             return new KeyValueResult.Listed(entriesWithPrefix(list.prefix()), revision, true);
         }
         if (request instanceof KeyValueRequest.Watch watch) {
+            if (watch.prefix().equals(unreadablePrefix) || watch.afterRevision() < historyStart) {
+                return noAnswer();
+            }
             return new KeyValueResult.Listed(changes(watch.prefix(), watch.afterRevision()), revision, false);
         }
         if (request instanceof KeyValueRequest.GrantLease grant) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -56,6 +56,11 @@
 
     private boolean draining;
 
+    private String dataCentre = "dc";
+
+    /** The progress that all runs report, or negative if it rises with the time. */
+    private double reportedPercent = -1;
+
     private double clockRate = 1;
 
     private long startDelayMillis;
@@ -168,6 +173,24 @@
         draining = isDraining;
     }
 
+    /**
+     * Sets the data centre.
+     *
+     * @param name its name
+     */
+    public void setDataCentre(String name) {
+        dataCentre = name;
+    }
+
+    /**
+     * Sets the progress that all runs report; without this call it rises with the time.
+     *
+     * @param percent the progress in percent, 100 for a long-running task that is at work
+     */
+    public void setReportedPercent(double percent) {
+        reportedPercent = percent;
+    }
+
     /**
      * Sets whether the list of workers contains this worker.
      *
@@ -267,7 +290,7 @@
                 incarnation,
                 address,
                 new ServiceName("pool"),
-                "dc",
+                dataCentre,
                 draining,
                 0,
                 0,
@@ -330,13 +353,17 @@
             extendLease(hold.leaseEndMillis(), clockMillis);
             ended.removeIf(end -> end.sequenceNumber() <= hold.acknowledged());
             List<RunReport> reports = running.entrySet().stream()
-                    .map(each -> new RunReport(each.getKey(), each.getValue(), "", clockMillis / 1_000.0, 1))
+                    .map(each -> new RunReport(each.getKey(), each.getValue(), "", percent(clockMillis), 1))
                     .toList();
             return new WorkerAnswer.Report(incarnation, clockMillis, reports, List.copyOf(ended));
         }
         return new WorkerAnswer.Done(clockMillis);
     }
 
+    private double percent(long clockMillis) {
+        return reportedPercent < 0 ? clockMillis / 1_000.0 : reportedPercent;
+    }
+
     private void extendLease(long endMillis, long clockMillis) {
         leaseEndMillis = Math.max(leaseEndMillis, Math.min(endMillis, clockMillis + MAX_LEASE_MILLIS));
     }
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
@@ -0,0 +1,56 @@
+package org.flamingopitch.scheduler.cell;
+
+import java.util.List;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.model.Resources;
+
+/** Creates the specifications of steps for a simulated cell. */
+final class SampleSteps {
+
+    private static final int MEMORY_MEGABYTES = 100;
+
+    private static final int ESTIMATE_MILLIS = 1_000;
+
+    private SampleSteps() {}
+
+    static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after, int maxUnavailable) {
+        return create(count, milliCores, longRunning, after, null, 0, false, maxUnavailable);
+    }
+
+    /** Creates the step of a task that is latency-critical. */
+    static StepSpec latencyCritical(String image, long milliCores, double targetMillis) {
+        return create(1, milliCores, true, List.of(), image, targetMillis, false, 0);
+    }
+
+    static StepSpec bestEffort(String image, long milliCores) {
+        return create(1, milliCores, false, List.of(), image, 0, true, 0);
+    }
+
+    private static StepSpec create(
+            int count,
+            long milliCores,
+            boolean longRunning,
+            List<Integer> after,
+            String image,
+            double targetMillis,
+            boolean bestEffort,
+            int maxUnavailable) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, MEMORY_MEGABYTES, 0),
+                ESTIMATE_MILLIS,
+                after,
+                true,
+                false,
+                false,
+                null,
+                null,
+                0,
+                false,
+                longRunning,
+                image,
+                targetMillis,
+                bestEffort,
+                maxUnavailable);
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/disruption/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions about planned disruptions. */
+package org.flamingopitch.scheduler.cell.disruption;
