Preempt best-effort tasks for tasks that reserve processors

Cause: best-effort tasks reserve memory. An urgent task of less than a second that finds no worker with enough memory waits until such tasks end by themselves, although a stop takes a fraction of that.

Change: PreemptionRule decides, BestEffortPreemption carries it out: a task that reserves processors and fits on no worker stops best-effort tasks of a lower priority, throttled ones and those with the least unsaved work first, if the shortest wait without that exceeds stopTimeoutMs and the work that it discards is less than the task's own. The worker is reserved until the stops have ended, for a second more than stopTimeoutMs at most, at most a tenth of the workers at a time; a worker that has left a stop unanswered is not chosen again. One plan looks at all runs, so there is one every 100 ms at most, for four steps. Reservations of any kind end as soon as their job has ended or is so late that it has no value. event=preempted, counter flamingopitch_preemptions_total; the recorded names that leave the process have this metric in addition, no other line differs.

Result: of the 7 tests of BestEffortPreemptionTest, 3 failed on the code before (urgent task starts after a stop, the stop stays unanswered, the reserved worker is lost); the others guard limits of the new code. Run: the tests of scheduler.cell, DecodingTest, DecoderFuzzTest, OuterNamesTest and SettingsReloaderTest; the known WaitingLongRunningTaskTest#shortTaskOnAnIdleServiceStartsInTimeAfterAFault fails, as before. No existing test has changed.

Conclusion: where best-effort tasks hold the memory of most workers, urgent tasks should start after about the time of a stop. Where processors are what lacks, nothing changes, since best-effort tasks reserve none. Deployments without best-effort tasks get the same decisions as before.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -71,6 +71,11 @@
             .labelNames("queue_priority", "outcome")
             .register(registry);
 
+    private final Counter preemptions = Counter.builder()
+            .name("flamingopitch_preemptions_total")
+            .help("Runs of best-effort tasks stopped for tasks of a higher priority.")
+            .register(registry);
+
     private final Histogram admissionWait = Histogram.builder()
             .name("flamingopitch_admission_wait_seconds")
             .help("Expected wait of a submitted job, admitted or not.")
@@ -127,6 +132,11 @@
         admissionWait.observe(seconds(expectedWait));
     }
 
+    @Override
+    public void recordPreemption() {
+        preemptions.inc();
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -166,6 +167,14 @@
         return submittedAt.plusMillis(allowedMillis);
     }
 
+    /** Returns whether the job is so late that it has no value to its caller any more. */
+    boolean expired(Instant now) {
+        Duration allowed = Duration.between(submittedAt, objective());
+        return !spec.longRunning()
+                && !spec.timed()
+                && now.isAfter(submittedAt.plus(allowed.multipliedBy(MAX_LATENESS_FACTOR)));
+    }
+
     /** Returns whether a run of any task is open. */
     boolean hasOpenRun() {
         return occurrences.stream()
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -81,7 +81,10 @@
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
         PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
-        this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
+        BestEffortPreemption bestEffortPreemption =
+                new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
+        this.placer = new TaskPlacer(
+                context, jobs, placementPolicy, orderSender, health, order, crashAttribution, bestEffortPreemption);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -36,6 +36,8 @@
 
     private final PreemptionPlanner preemptionPlanner;
 
+    private final BestEffortPreemption bestEffortPreemption;
+
     private final WorkerOrderSender orderSender;
 
     private final WorkerHealth health;
@@ -66,7 +68,8 @@
             WorkerOrderSender orderSender,
             WorkerHealth health,
             JobQueueOrder queueOrder,
-            CrashAttribution crashAttribution) {
+            CrashAttribution crashAttribution,
+            BestEffortPreemption bestEffortPreemption) {
         this.context = context;
         this.jobs = jobs;
         this.placementPolicy = placementPolicy;
@@ -74,6 +77,7 @@
         this.health = health;
         this.queueOrder = queueOrder;
         this.crashAttribution = crashAttribution;
+        this.bestEffortPreemption = bestEffortPreemption;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
@@ -117,6 +121,7 @@
         FailedPlacements failures = new FailedPlacements();
         PlacementPass pass = placementPolicy.startPass(workerRegistry.workers(), worker -> usable(worker, now), now);
         placeInIsolation(pass, now);
+        bestEffortPreemption.startPass(worker -> usable(worker, now), now);
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
@@ -144,6 +149,7 @@
                 if (step.waitingCount(now) > 0) {
                     failures.add(step);
                     tasksWaiting = true;
+                    bestEffortPreemption.makeRoom(step, workerRegistry.workers(), worker -> usable(worker, now), now);
                 }
             }
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -355,9 +355,12 @@
 
     /** Returns the task that the worker's free capacity is reserved for, or null. */
     Task reservedFor(Instant now) {
-        return reservationTask != null && reservationTask.run() == null && now.isBefore(reservedUntil)
-                ? reservationTask
-                : null;
+        boolean needed = reservationTask != null
+                && reservationTask.run() == null
+                && !reservationTask.done()
+                && reservationTask.job().open()
+                && !reservationTask.job().expired(now);
+        return needed && now.isBefore(reservedUntil) ? reservationTask : null;
     }
 
     Instant reservedUntil() {
@@ -370,6 +373,11 @@
         task.setReservedWorker(this);
     }
 
+    /** Releases the free capacity to all tasks. */
+    void endReservation() {
+        reservationTask = null;
+    }
+
     Resources reserved() {
         return reserved;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/AdmissionMetrics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/AdmissionMetrics.java
@@ -12,6 +12,9 @@
 
         @Override
         public void recordAdmissionWait(Duration expectedWait) {}
+
+        @Override
+        public void recordPreemption() {}
     };
 
     /**
@@ -28,4 +31,7 @@
      * @param expectedWait the time until the work ahead of the job and its own are done
      */
     void recordAdmissionWait(Duration expectedWait);
+
+    /** Counts a run of a best-effort task that is stopped for a task of a higher priority. */
+    void recordPreemption();
 }
