--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -73,6 +73,11 @@
             .labelNames("queue_priority", "outcome")
             .register(registry);
 
+    private final Counter preemptions = Counter.builder()
+            .name("flamingopitch_preemptions_total")
+            .help("Runs of best-effort tasks stopped for tasks of a higher priority.")
+            .register(registry);
+
     private final Histogram admissionWait = Histogram.builder()
             .name("flamingopitch_admission_wait_seconds")
             .help("Expected wait of a submitted job, admitted or not.")
@@ -140,6 +145,11 @@
         admissionWait.observe(seconds(expectedWait));
     }
 
+    @Override
+    public void recordPreemption() {
+        preemptions.inc();
+    }
+
     @Override
     public void onMoved(MoveReason reason) {
         moves.labelValues(reason.label()).inc();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -85,7 +85,10 @@
                 context, fencingToken, EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
         this.placementPolicy = new PlacementPolicy(health, interference);
-        this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
+        BestEffortPreemption bestEffortPreemption =
+                new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
+        this.placer = new TaskPlacer(
+                context, jobs, placementPolicy, orderSender, health, order, crashAttribution, bestEffortPreemption);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/InitialConfiguration.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/InitialConfiguration.java
@@ -21,7 +21,9 @@
                 Duration.ofSeconds(3),
                 second,
                 second,
-                Duration.ofSeconds(5));
+                Duration.ofSeconds(5),
+                Duration.ZERO,
+                Duration.ZERO);
     }
 
     static CellConfiguration create() {
