Prefer queues and size classes that were served less

Cause: in overload the order by value for each unit of work and the rejection by expected wait hit the same jobs again and again: mostly the largest.

Change: for each queue and size class (largest tenth, the fifth below, the rest, by work among the last 200 submissions of the queue) ServiceShares keeps the value that was requested and that was served in time, with a half-life of 10 s. A class below the average of all gets up to twice the weight in JobQueueOrder, where started jobs keep 3, and up to twice the allowed time in admission; share in event=refused is its ratio to the average. A job counts once, when it is first rejected, when it ends or when its objective passes. The sums are part of LearnedRecord, so its recorded stored form has the field shares; records without it are read as before, a former version cannot read the new ones. JobQueueOrder, LearnedRecord and AdmissionControl.decide have further parameters; existing tests pass neutral values for these and assert what they did.

The new tests have no counterpart in the code before.

Conclusion: callers of the largest jobs should be served nearly as often as others. A queue that is overloaded for long has fewer rejections and more late jobs; if the measurement shows that this costs its callers value, the factor on the allowed time is to be limited to classes that are rejected more often than others.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -26,6 +26,8 @@
      *
      * @param capacity the work that the workers can complete for the queue each millisecond, in millicores
      * @param totalMilliCores the processor time of all workers of the queue's service, in millicores
+     * @param share the share that the job's class was served, relative to all classes
+     * @param boost the factor on the allowed time of the job's class
      */
     static AdmissionDecision decide(
             JobSpec spec,
@@ -33,6 +35,8 @@
             Collection<Job> jobs,
             long capacity,
             long totalMilliCores,
+            double share,
+            double boost,
             DurationEstimates estimates,
             Instant now) {
         if (spec.longRunning()) {
@@ -41,14 +45,16 @@
         if (spec.timed()) {
             return AdmissionPolicy.admit();
         }
-        long allowedMillis = (long) (AdmissionPolicy.MAX_DURATION_FACTOR
+        long allowedMillis = (long) (boost
+                * AdmissionPolicy.MAX_DURATION_FACTOR
                 * (queue.stretch() * spec.criticalPathMillis() + queue.targetMillis()));
-        return AdmissionPolicy.decide(new AdmissionInputs(
+        AdmissionInputs inputs = new AdmissionInputs(
                 workAhead(spec, queue, jobs, estimates, now),
                 capacity,
                 estimates.expectedMillis(queue.name(), spec.criticalPathMillis()),
                 allowedMillis,
-                1));
+                share);
+        return AdmissionPolicy.decide(inputs);
     }
 
     private static long reservedByLongRunningJobs(JobSpec spec, QueueSpec queue, Collection<Job> jobs) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -10,9 +10,11 @@
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
+import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
+import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 
@@ -289,21 +291,28 @@
             refuse(submit, AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, "the store does not answer", answer);
             return;
         }
+        JobShares shares = runManager.jobShares();
+        QueueName queue = submit.queue().name();
+        SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
         AdmissionDecision decision = AdmissionControl.decide(
                 submit.spec(),
                 submit.queue(),
                 jobs.open(),
                 load.capacity(submit.queue(), submit.spec(), context.now()),
                 load.totalMilliCores(submit.queue()),
+                shares.share(queue, sizeClass),
+                shares.boost(queue, sizeClass),
                 runManager.estimates(),
                 context.now());
         recordDecision(submit, decision);
         if (!decision.admitted()) {
+            shares.onRejected(submit.id(), queue, submit.spec(), sizeClass, context.now());
             answer.accept(new JobAnswer.Refused(decision.retryDelay(), "too much work waits"));
             return;
         }
         Job job = new Job(submit.id(), submit.queue(), submit.spec(), context.now(), context.timeOfDayMillis());
         jobs.add(job);
+        shares.onAdmitted(job, sizeClass);
         runManager.averageJobWork().add(job.queue().name(), job.spec());
         LOGGER.atInfo().log(
                 "event=submitted job=%s queue=%s steps=%d tasks=%d work_core_ms=%d open=%d",
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -41,6 +42,10 @@
 
     private Instant endedAt;
 
+    private SizeClass sizeClass = SizeClass.REGULAR;
+
+    private boolean outcomeCounted;
+
     Job(JobId id, QueueSpec queue, JobSpec spec, Instant submittedAt, long submittedMillis) {
         this.id = id;
         this.queue = queue;
@@ -132,6 +137,23 @@
         return endState == null;
     }
 
+    SizeClass sizeClass() {
+        return sizeClass;
+    }
+
+    void setSizeClass(SizeClass newSizeClass) {
+        sizeClass = newSizeClass;
+    }
+
+    /** Returns whether {@link JobShares} has counted the outcome of this job. */
+    boolean outcomeCounted() {
+        return outcomeCounted;
+    }
+
+    void markOutcomeCounted() {
+        outcomeCounted = true;
+    }
+
     Instant endedAt() {
         return endedAt;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 
 /**
  * Orders jobs that wait for free capacity: long-running jobs first, because other parties depend on them; then by the
@@ -28,7 +29,8 @@
     private static final double LATE_VALUE_FACTOR = 0.15;
 
     /**
-     * Weight of a job of which a task has started, where a job that has not started has weight 1. Without it, new jobs
+     * Weight of a job of which a task has started, where a job that has not started has weight 1, or up to 2 if its class was
+     * served less than others. Without it, new jobs
      * take the capacity that started jobs need to end in time, and most jobs end late: up to 4 s pass between the first
      * and the last start of a step's tasks.
      */
@@ -44,9 +46,17 @@
 
     private final AverageJobWork averageWork;
 
-    JobQueueOrder(DurationEstimates estimates, AverageJobWork averageWork) {
+    private final ServiceShares shares;
+
+    JobQueueOrder(DurationEstimates estimates, AverageJobWork averageWork, ServiceShares shares) {
         this.estimates = estimates;
         this.averageWork = averageWork;
+        this.shares = shares;
+    }
+
+    /** Returns the value of a job to its caller, where a job of average work in its queue has value 1. */
+    static double value(double work, long averageWork) {
+        return Math.min(MAX_VALUE, FIXED_VALUE + (1 - FIXED_VALUE) * work / Math.max(1, averageWork));
     }
 
     /** Returns the jobs in the order in which they are to be placed. */
@@ -64,10 +74,9 @@
     }
 
     private double valuePerWork(Job job, Instant now) {
-        double relativeWork =
-                (double) totalWork(job) / Math.max(1, averageWork.of(job.queue().name()));
-        double value = Math.min(MAX_VALUE, FIXED_VALUE + (1 - FIXED_VALUE) * relativeWork);
-        double weight = job.started() ? STARTED_JOB_WEIGHT : 1;
+        double value = value(totalWork(job), averageWork.of(job.queue().name()));
+        double weight =
+                job.started() ? STARTED_JOB_WEIGHT : shares.boost(job.queue().name(), job.sizeClass());
         return weight * timelinessFactor(job, now) * value / Math.max(1, remainingWork(job, estimates));
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedRecord.java
@@ -1,23 +1,26 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.util.List;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 
 /**
  * Learned statistics that an owner stores so that its successor need not gather them again. They may be some seconds
- * old or missing: they affect only how well tasks are placed.
+ * old or missing: they affect only how well tasks are placed and which jobs are served first.
  *
  * @param durations the ratios of actual to estimated durations
  * @param responses how latency-critical images respond to best-effort tasks beside them
+ * @param shares the value that was requested and served, by queue and size class
  */
-record LearnedRecord(List<Duration> durations, List<Response> responses) {
+record LearnedRecord(List<Duration> durations, List<Response> responses, List<ServiceShares.Stored> shares) {
 
     /** A record without statistics. */
-    static final LearnedRecord EMPTY = new LearnedRecord(List.of(), List.of());
+    static final LearnedRecord EMPTY = new LearnedRecord(List.of(), List.of(), List.of());
 
     LearnedRecord {
         durations = durations == null ? List.of() : durations;
         responses = responses == null ? List.of() : responses;
+        shares = shares == null ? List.of() : shares;
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
@@ -50,6 +51,10 @@
 
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
+    private final ServiceShares shares = new ServiceShares();
+
+    private final JobShares jobShares = new JobShares(shares, averageJobWork);
+
     private final CompletionRate bestEffortCompletionRate;
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
@@ -79,7 +84,7 @@
         this.jobs = jobs;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
-        JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
+        JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork, shares);
         PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
         BestEffortPreemption bestEffortPreemption =
                 new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
@@ -116,6 +121,10 @@
         return averageJobWork;
     }
 
+    JobShares jobShares() {
+        return jobShares;
+    }
+
     /** Returns the rate at which best-effort work completes. */
     CompletionRate bestEffortCompletionRate() {
         return bestEffortCompletionRate;
@@ -123,18 +132,20 @@
 
     /** Returns the learned statistics, to be stored for the next owner. */
     LearnedRecord learnedStatistics() {
-        return new LearnedRecord(estimates.records(), interference.records());
+        return new LearnedRecord(estimates.records(), interference.records(), shares.records());
     }
 
     /** Restores the learned statistics that a former owner stored. */
     void restoreLearnedStatistics(LearnedRecord record) {
         estimates.restore(record.durations());
         interference.restore(record.responses());
+        shares.restore(record.shares());
     }
 
     /** Takes note of a job that was restored from its records. */
     void onJobRestored(Job job) {
         averageJobWork.add(job.queue().name(), job.spec());
+        jobShares.onRestored(job, context.now());
         crashAttribution.restore(job);
     }
 
@@ -207,6 +218,7 @@
             }
         }
         for (Job job : List.copyOf(jobs.all())) {
+            jobShares.countIfDecided(job, now);
             boolean retentionOver = !job.open() && !now.isBefore(job.endedAt().plus(timings.doneJobRetention()));
             if (retentionOver && job.endStateDurable() && !job.hasOpenRun()) {
                 jobs.remove(job);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.junit.jupiter.api.Test;
 
@@ -37,8 +38,20 @@
     }
 
     private AdmissionDecision decide(JobSpec spec, List<Job> jobs) {
+        return decide(spec, jobs, 1);
+    }
+
+    private AdmissionDecision decide(JobSpec spec, List<Job> jobs, double boost) {
         return AdmissionControl.decide(
-                spec, OwnerFixtures.queue(), jobs, CAPACITY_MILLICORES, TOTAL_MILLICORES, estimates, OwnerFixtures.NOW);
+                spec,
+                OwnerFixtures.queue(),
+                jobs,
+                CAPACITY_MILLICORES,
+                TOTAL_MILLICORES,
+                1,
+                boost,
+                estimates,
+                OwnerFixtures.NOW);
     }
 
     @Test
@@ -68,6 +81,18 @@
                         + "critical_path_ms=1000 allowed_ms=4200 retry_ms=8000 share=1.00");
     }
 
+    /** A class that was served less waits longer before it is rejected, so that it is not rejected for ever. */
+    @Test
+    void jobOfAClassThatWasServedLessMayWaitLonger() {
+        List<Job> waiting = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            waiting.add(job(i, OwnerFixtures.NOW));
+        }
+        JobSpec spec = job(99, OwnerFixtures.NOW).spec();
+        assertThat(decide(spec, waiting, 1).admitted()).isFalse();
+        assertThat(decide(spec, waiting, 2).admitted()).isTrue();
+    }
+
     @Test
     void smallJobIsAdmittedWhileLargeJobsWait() {
         List<Job> waiting = new ArrayList<>();
@@ -103,7 +128,8 @@
         }
         AverageJobWork averageWork = new AverageJobWork();
         jobs.forEach(job -> averageWork.add(job.queue().name(), job.spec()));
-        List<Job> ordered = new JobQueueOrder(estimates, averageWork).sort(jobs, OwnerFixtures.NOW);
+        List<Job> ordered =
+                new JobQueueOrder(estimates, averageWork, new ServiceShares()).sort(jobs, OwnerFixtures.NOW);
         assertThat(countInTime(ordered)).isGreaterThan(countInTime(jobs));
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
@@ -7,8 +7,11 @@
 import java.util.SplittableRandom;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.QueueCapacity;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
@@ -57,7 +60,11 @@
 
     private final AverageJobWork averageWork = new AverageJobWork();
 
-    private final JobQueueOrder order = new JobQueueOrder(estimates, averageWork);
+    private final ServiceShares shares = new ServiceShares();
+
+    private final JobShares jobShares = new JobShares(shares, averageWork);
+
+    private final JobQueueOrder order;
 
     private final List<WorkerState> workers = new ArrayList<>();
 
@@ -74,9 +81,13 @@
     /** Whether capacity is estimated as the rate of completion of all queues plus idle processors. */
     private final boolean formerCapacity;
 
-    CompetingQueuesSimulation(double burstFactor, boolean formerCapacity) {
+    private final boolean withShares;
+
+    CompetingQueuesSimulation(double burstFactor, boolean formerCapacity, boolean withShares) {
         this.burstFactor = burstFactor;
         this.formerCapacity = formerCapacity;
+        this.withShares = withShares;
+        this.order = new JobQueueOrder(estimates, averageWork, withShares ? shares : new ServiceShares());
         Job service = new Job(
                 new JobId("service"),
                 URGENT,
@@ -154,6 +165,7 @@
             submit(BEST_EFFORT, BEST_EFFORT_JOBS_PER_SECOND * factor(BEST_EFFORT_BURSTS, second), now, statistics);
             advanceRuns(now, statistics);
             place(now);
+            jobs.forEach(job -> jobShares.countIfDecided(job, now));
         }
         return statistics;
     }
@@ -178,16 +190,28 @@
                 ? step(8 * size, 3_900, 7_800, 800, false, false)
                 : step(16 * size, 3_500, 6_400, 2_200, false, true);
         JobSpec spec = new JobSpec("work", List.of(first), 0, 0, 0);
+        JobId id = new JobId("j" + now.toEpochMilli() + queue.name());
+        SizeClass sizeClass = jobShares.classify(id, queue.name(), spec);
         AdmissionDecision decision = AdmissionControl.decide(
-                spec, queue, jobs, capacity(queue, spec, now), WORKER_COUNT * 32_000L, estimates, now);
+                spec,
+                queue,
+                jobs,
+                capacity(queue, spec, now),
+                WORKER_COUNT * 32_000L,
+                jobShares.share(queue.name(), sizeClass),
+                withShares ? jobShares.boost(queue.name(), sizeClass) : 1,
+                estimates,
+                now);
         Outcomes outcomes = statistics.of(queue, size > 1);
         outcomes.submitted++;
         if (!decision.admitted()) {
             outcomes.rejected++;
+            jobShares.onRejected(id, queue.name(), spec, sizeClass, now);
             return;
         }
-        Job job = new Job(new JobId("j" + now.toEpochMilli() + queue.name()), queue, spec, now, now.toEpochMilli());
+        Job job = new Job(id, queue, spec, now, now.toEpochMilli());
         averageWork.add(queue.name(), spec);
+        jobShares.onAdmitted(job, sizeClass);
         jobs.add(job);
     }
 
@@ -242,6 +266,8 @@
         run.task().markDone();
         run.task().step().incrementDoneCount();
         if (job.allDone()) {
+            job.end(JobState.DONE, now);
+            jobShares.countIfDecided(job, now);
             jobs.remove(job);
             boolean large = job.step(0, 0).tasks().size() > 16 || job.queue() == URGENT && spec.count() > 8;
             statistics.of(job.queue(), large).inTime += now.isAfter(job.objective()) ? 0 : 1;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrderOverloadTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrderOverloadTest.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiFunction;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.model.JobState;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -39,6 +41,10 @@
 
     private final AverageJobWork averageWork = new AverageJobWork();
 
+    private final ServiceShares shares = new ServiceShares();
+
+    private final JobShares jobShares = new JobShares(shares, averageWork);
+
     private final WorkerState worker = OwnerFixtures.worker("w", WORKER_MILLICORES);
 
     private final List<Job> jobs = new ArrayList<>();
@@ -58,6 +64,9 @@
             }
             tick++;
             endRuns(now);
+            for (Job job : jobs) {
+                jobShares.countIfDecided(job, now);
+            }
             place(order, now);
         }
     }
@@ -69,6 +78,7 @@
                 OwnerFixtures.bestEffortStep("i", taskCount, TASK_MILLICORES, TASK_DURATION.toMillis()),
                 now);
         averageWork.add(job.queue().name(), job.spec());
+        jobShares.onAdmitted(job, jobShares.classify(job.id(), job.queue().name(), job.spec()));
         jobs.add(job);
     }
 
@@ -80,6 +90,7 @@
                 run.task().markDone();
                 run.task().step().incrementDoneCount();
                 if (job.allDone()) {
+                    job.end(JobState.DONE, now);
                     recordCompletion(job, now);
                 }
             }
@@ -124,14 +135,26 @@
         int completedFirstComeFirstServed = completedInTime.size();
         jobs.clear();
         completedInTime.clear();
-        simulate(new JobQueueOrder(estimates, averageWork)::sort);
+        simulate(new JobQueueOrder(estimates, averageWork, new ServiceShares())::sort);
         assertThat(completedInTime.size()).isGreaterThan(completedFirstComeFirstServed * 3 / 2);
     }
 
     @Test
     void largeJobsCompleteAtLeastHalfAsOftenAsAllJobs() {
-        simulate(new JobQueueOrder(estimates, averageWork)::sort);
+        simulate(new JobQueueOrder(estimates, averageWork, new ServiceShares())::sort);
         assertThat(completedShare(completedWithValue, jobs, LARGE_TASK_COUNT))
                 .isGreaterThan(completedShare(completedWithValue, jobs, 0) / 2);
     }
+
+    /** Without a preference for classes that were served less, overload is at the cost of the largest jobs. */
+    @Test
+    void largeJobsCompleteInTimeMoreOftenWithSharesByClassAndAllJobsNearlyAsOften() {
+        simulate(new JobQueueOrder(estimates, averageWork, new ServiceShares())::sort);
+        JobQueueOrderOverloadTest withShares = new JobQueueOrderOverloadTest();
+        withShares.simulate(new JobQueueOrder(withShares.estimates, withShares.averageWork, withShares.shares)::sort);
+        assertThat(completedShare(withShares.completedInTime, withShares.jobs, LARGE_TASK_COUNT))
+                .isGreaterThan(completedShare(completedInTime, jobs, LARGE_TASK_COUNT));
+        assertThat(completedShare(withShares.completedInTime, withShares.jobs, 0))
+                .isGreaterThan(0.95 * completedShare(completedInTime, jobs, 0));
+    }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrderTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.junit.jupiter.api.Test;
 
 /** Order of waiting jobs with several tasks each, when the workers can run only some of the tasks at a time. */
@@ -16,7 +18,9 @@
 
     private final AverageJobWork averageWork = new AverageJobWork();
 
-    private final JobQueueOrder order = new JobQueueOrder(estimates, averageWork);
+    private final ServiceShares shares = new ServiceShares();
+
+    private final JobQueueOrder order = new JobQueueOrder(estimates, averageWork, shares);
 
     private Job job(String id, int tasks, Duration age) {
         Job job = OwnerFixtures.job(
@@ -37,6 +41,22 @@
         assertThat(sort(smaller, started)).containsExactly(started, smaller);
     }
 
+    /** Otherwise the class that loses in one burst loses in all. */
+    @Test
+    void jobOfAClassThatWasServedLessPrecedesASlightlySmallerJobButNotAStartedOne() {
+        Job small = job("a", 8, Duration.ZERO);
+        Job large = job("b", 10, Duration.ZERO);
+        Job started = job("c", 12, Duration.ZERO);
+        started.markStarted();
+        large.setSizeClass(SizeClass.LARGEST);
+        assertThat(sort(large, small, started)).containsExactly(started, small, large);
+        for (int i = 0; i < 10; i++) {
+            shares.add(large.queue().name(), SizeClass.REGULAR, 1, true, OwnerFixtures.NOW);
+            shares.add(large.queue().name(), SizeClass.LARGEST, 1, false, OwnerFixtures.NOW);
+        }
+        assertThat(sort(large, small, started)).containsExactly(started, large, small);
+    }
+
     @Test
     void lateJobFollowsAJobThatCanMeetItsObjective() {
         Job late = job("a", 8, Duration.ofSeconds(4));
