Spread retries over the time in which capacity is expected

Cause: Retry-After was the excess of the expected time, cut off at 8 s: callers of a burst came back together, as the next burst, and those with a small excess exactly when the capacity was just used up.

Change: RetryDelay gives whole seconds, as the header has no smaller unit (it is rounded up), spread by a hash of the job's id evenly from the time until the excess work is done to twice that time, at least 1 s and at most 8 s. If the excess takes longer than 6 s, the range is 6 to 8 s, since otherwise all callers would get 8 s. Rejected long-running jobs get 6 to 8 s instead of 8 s.

Conclusion: after a burst, submissions should come back over several seconds, and fewer should be rejected again.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionPolicy.java
@@ -20,9 +20,8 @@
      */
     private static final double MAX_LONG_RUNNING_SHARE = 0.85;
 
-    private static final Duration MIN_RETRY_DELAY = Duration.ofSeconds(1);
-
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(8);
+    /** Long-running jobs do not release capacity soon. */
+    private static final Duration LONG_RUNNING_RETRY_DELAY = Duration.ofSeconds(8);
 
     private AdmissionPolicy() {}
 
@@ -40,9 +39,10 @@
      * is so after a takeover, until the first workers have reported.
      *
      * @param inputs the inputs
+     * @param jobId the job's id, over which retries are spread
      * @return the decision
      */
-    public static AdmissionDecision decide(AdmissionInputs inputs) {
+    public static AdmissionDecision decide(AdmissionInputs inputs, String jobId) {
         if (inputs.capacityMilliCores() <= 0) {
             return new AdmissionDecision(AdmissionOutcome.ADMITTED, inputs, 0, Duration.ZERO);
         }
@@ -52,7 +52,7 @@
             return new AdmissionDecision(AdmissionOutcome.ADMITTED, inputs, waitMillis, Duration.ZERO);
         }
         return new AdmissionDecision(
-                AdmissionOutcome.BACKLOG, inputs, waitMillis, clamp(Duration.ofMillis(excessMillis)));
+                AdmissionOutcome.BACKLOG, inputs, waitMillis, RetryDelay.of(Duration.ofMillis(excessMillis), jobId));
     }
 
     /**
@@ -61,21 +61,16 @@
      *
      * @param reservedMilliCores what the long-running jobs reserve, the new one included
      * @param totalMilliCores the processor time of all workers
+     * @param jobId the job's id, over which retries are spread
      * @return the decision; its capacity is what long-running tasks may reserve
      */
-    public static AdmissionDecision decideLongRunning(long reservedMilliCores, long totalMilliCores) {
+    public static AdmissionDecision decideLongRunning(long reservedMilliCores, long totalMilliCores, String jobId) {
         long limit = (long) (MAX_LONG_RUNNING_SHARE * totalMilliCores);
         boolean rejected = totalMilliCores > 0 && reservedMilliCores > MAX_LONG_RUNNING_SHARE * totalMilliCores;
         AdmissionInputs inputs = new AdmissionInputs(0, limit, 0, 0, 1);
         return rejected
-                ? new AdmissionDecision(AdmissionOutcome.LONG_RUNNING_SHARE, inputs, 0, MAX_RETRY_DELAY)
+                ? new AdmissionDecision(
+                        AdmissionOutcome.LONG_RUNNING_SHARE, inputs, 0, RetryDelay.of(LONG_RUNNING_RETRY_DELAY, jobId))
                 : new AdmissionDecision(AdmissionOutcome.ADMITTED, inputs, 0, Duration.ZERO);
     }
-
-    private static Duration clamp(Duration delay) {
-        if (delay.compareTo(MIN_RETRY_DELAY) < 0) {
-            return MIN_RETRY_DELAY;
-        }
-        return delay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : delay;
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -7,6 +7,7 @@
 import org.flamingopitch.scheduler.cell.admission.AdmissionInputs;
 import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
 import org.flamingopitch.scheduler.cell.admission.QueueCapacity;
+import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -30,6 +31,7 @@
      * @param boost the factor on the allowed time of the job's class
      */
     static AdmissionDecision decide(
+            JobId id,
             JobSpec spec,
             QueueSpec queue,
             Collection<Job> jobs,
@@ -40,7 +42,8 @@
             DurationEstimates estimates,
             Instant now) {
         if (spec.longRunning()) {
-            return AdmissionPolicy.decideLongRunning(reservedByLongRunningJobs(spec, queue, jobs), totalMilliCores);
+            return AdmissionPolicy.decideLongRunning(
+                    reservedByLongRunningJobs(spec, queue, jobs), totalMilliCores, id.value());
         }
         if (spec.timed()) {
             return AdmissionPolicy.admit();
@@ -54,7 +57,7 @@
                 estimates.expectedMillis(queue.name(), spec.criticalPathMillis()),
                 allowedMillis,
                 share);
-        return AdmissionPolicy.decide(inputs);
+        return AdmissionPolicy.decide(inputs, id.value());
     }
 
     private static long reservedByLongRunningJobs(JobSpec spec, QueueSpec queue, Collection<Job> jobs) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -295,6 +295,7 @@
         QueueName queue = submit.queue().name();
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
         AdmissionDecision decision = AdmissionControl.decide(
+                submit.id(),
                 submit.spec(),
                 submit.queue(),
                 jobs.open(),
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
@@ -193,6 +193,7 @@
         JobId id = new JobId("j" + now.toEpochMilli() + queue.name());
         SizeClass sizeClass = jobShares.classify(id, queue.name(), spec);
         AdmissionDecision decision = AdmissionControl.decide(
+                id,
                 spec,
                 queue,
                 jobs,
