--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -7,6 +7,7 @@
 import org.flamingopitch.scheduler.cell.admission.AdmissionInputs;
 import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
 import org.flamingopitch.scheduler.cell.admission.QueueCapacity;
+import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -26,29 +27,37 @@
      *
      * @param capacity the work that the workers can complete for the queue each millisecond, in millicores
      * @param totalMilliCores the processor time of all workers of the queue's service, in millicores
+     * @param share the share that the job's class was served, relative to all classes
+     * @param boost the factor on the allowed time of the job's class
      */
     static AdmissionDecision decide(
+            JobId id,
             JobSpec spec,
             QueueSpec queue,
             Collection<Job> jobs,
             long capacity,
             long totalMilliCores,
+            double share,
+            double boost,
             DurationEstimates estimates,
             Instant now) {
         if (spec.longRunning()) {
-            return AdmissionPolicy.decideLongRunning(reservedByLongRunningJobs(spec, queue, jobs), totalMilliCores);
+            return AdmissionPolicy.decideLongRunning(
+                    reservedByLongRunningJobs(spec, queue, jobs), totalMilliCores, id.value());
         }
         if (spec.timed()) {
             return AdmissionPolicy.admit();
         }
-        long allowedMillis = (long) (AdmissionPolicy.MAX_DURATION_FACTOR
+        long allowedMillis = (long) (boost
+                * AdmissionPolicy.MAX_DURATION_FACTOR
                 * (queue.stretch() * spec.criticalPathMillis() + queue.targetMillis()));
-        return AdmissionPolicy.decide(new AdmissionInputs(
+        AdmissionInputs inputs = new AdmissionInputs(
                 workAhead(spec, queue, jobs, estimates, now),
                 capacity,
                 estimates.expectedMillis(queue.name(), spec.criticalPathMillis()),
                 allowedMillis,
-                1));
+                share);
+        return AdmissionPolicy.decide(inputs, id.value());
     }
 
     private static long reservedByLongRunningJobs(JobSpec spec, QueueSpec queue, Collection<Job> jobs) {
