Wait for a task's rack as long as that pays

Cause: A task that runs outside its preferred rack, or whose group is spread over racks, takes farFactor times as long. The owner never waited for a rack and let tasks without a preference fill the racks that others prefer; far runs were also learned as long tasks and, from factor 2.5 on, made workers count as slow. Groups were compared by all labels of a worker. Change: Package cell.locality decides (PlacementWait, RackOutlook, Racks, GroupRack, RemainingTime); RackWaitPlanner connects it to TaskPlacer. bounds.farFactor is read (1 if absent, below 1 is rejected). A step that waits for its rack is not recorded as a failed placement. Tasks use the workers of racks that other open jobs prefer last. Durations are divided by the factor before they are learned. The metric flamingopitch_rack_wait_seconds is added to the recorded outer names; the test is as strict as before. With the factor ignored 10 of the 11 tests of RackWaitTest fail; with waiting steps recorded as failed placements 2 fail. Not measured on the platform or its benchmarks, and the cost of a pass with 10,000 workers was not measured either.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -51,6 +51,9 @@
             "Time of an order to a worker, waiting time included.",
             "operation");
 
+    private final Histogram rackWait = registerHistogram(
+            "flamingopitch_rack_wait_seconds", "Time that a task was left waiting for its rack.", "outcome");
+
     private final Gauge owner = Gauge.builder()
             .name("flamingopitch_cell_owner")
             .help("1 while this host owns the cell, otherwise 0.")
@@ -99,6 +102,10 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
+    void recordRackWait(String outcome, Duration waited) {
+        rackWait.labelValues(outcome).observe(seconds(waited));
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -12,6 +12,7 @@
 import org.flamingopitch.platform.StoreClient;
 import org.flamingopitch.platform.WorkerClient;
 import org.flamingopitch.platform.WorkerDirectory;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
@@ -113,6 +114,11 @@
         directory.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
 
+    @Override
+    public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
+        metrics.recordRackWait(outcome.label(), waited);
+    }
+
     /** Returns the metric label for a value of a sealed type; such a type has a fixed number of labels. */
     static String metricLabel(Object value) {
         return value.getClass().getSimpleName();
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
@@ -69,7 +69,7 @@
 
     private static PlatformSettings trainingSettings() {
         Duration oneSecond = Duration.ofSeconds(1);
-        CellTimings timings = new CellTimings(oneSecond, oneSecond, oneSecond, oneSecond, oneSecond);
+        CellTimings timings = new CellTimings(oneSecond, oneSecond, oneSecond, oneSecond, oneSecond, 1);
         return new PlatformSettings(
                 "rehearsal",
                 "none",
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
@@ -3,17 +3,28 @@
 import java.time.Duration;
 
 /**
- * The time limits that the platform sets for a cell.
+ * The time limits, and the factor on the duration of remote tasks, that the platform sets for a cell.
  *
  * @param maxLease the longest lease under which a worker runs tasks without an extension
  * @param doneJobRetention how long the state of a job can be read after its end
  * @param gangTimeout how long a started task of a gang (tasks that must run at the same time) waits for the others
  * @param stopTimeout how long a worker may take to stop a run
  * @param unavailableAfter how long a long-running task may be down before it counts as unavailable
+ * @param farFactor the factor on the duration of a task that runs outside its preferred rack, or whose group is spread
+ *     over several racks; at least 1
  */
 public record CellTimings(
         Duration maxLease,
         Duration doneJobRetention,
         Duration gangTimeout,
         Duration stopTimeout,
-        Duration unavailableAfter) {}
+        Duration unavailableAfter,
+        double farFactor) {
+
+    /** Rejects a factor with which remote tasks would be faster. */
+    public CellTimings {
+        if (!(farFactor >= 1) || Double.isInfinite(farFactor)) {
+            throw new IllegalArgumentException("farFactor must be a number of at least 1, found " + farFactor);
+        }
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
@@ -20,6 +20,9 @@
     /** Whether the worker may run long-running tasks only, as a last resort. */
     private final boolean quarantined;
 
+    /** Whether tasks of open jobs prefer the worker's rack. */
+    private final boolean inPreferredRack;
+
     private final Instant now;
 
     private Resources free;
@@ -39,6 +42,16 @@
     private List<LatencyHeadroom> headrooms;
 
     PlacementCandidate(WorkerState worker, InterferenceEstimator interference, boolean quarantined, Instant now) {
+        this(worker, interference, quarantined, Set.of(), now);
+    }
+
+    PlacementCandidate(
+            WorkerState worker,
+            InterferenceEstimator interference,
+            boolean quarantined,
+            Set<String> preferredRacks,
+            Instant now) {
+        this.inPreferredRack = worker.entry().labels().stream().anyMatch(preferredRacks::contains);
         this.worker = worker;
         this.interference = interference;
         this.quarantined = quarantined;
@@ -77,6 +90,19 @@
         return hasSuspects || task.suspect() && hasUnprovenRuns;
     }
 
+    /** Returns whether tasks of other steps prefer the worker's rack, and those of the step do not. */
+    boolean preferredByOthers(Step step) {
+        if (!inPreferredRack) {
+            return false;
+        }
+        Set<String> labels = worker.entry().labels();
+        boolean ownRack = step.spec().preferredRack() != null
+                && labels.contains(step.spec().preferredRack());
+        boolean ownGroupRack =
+                step.groupRack() != null && labels.contains(step.groupRack().rack());
+        return !ownRack && !ownGroupRack;
+    }
+
     int runCount() {
         return worker.runs().size();
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -3,8 +3,15 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.flamingopitch.scheduler.cell.locality.GroupRack;
+import org.flamingopitch.scheduler.cell.locality.Racks;
+import org.flamingopitch.scheduler.cell.model.ServiceName;
 
 /**
  * One pass that places many waiting tasks. It caches what is computed for a worker, and the scores of a step's tasks on
@@ -17,22 +24,69 @@
 
     private final Instant now;
 
+    private final Collection<WorkerState> workers;
+
     private final List<PlacementCandidate> candidates = new ArrayList<>();
 
+    /** Computed when a step that prefers a rack is placed. */
+    private Map<String, List<PlacementCandidate>> candidatesByLabel;
+
+    /** Computed when the rack of a group of tasks is chosen. */
+    private Racks racks;
+
     PlacementPass(
             PlacementPolicy placementPolicy,
             InterferenceEstimator interference,
             Collection<WorkerState> workers,
             Predicate<WorkerState> usable,
+            Set<String> preferredRacks,
             Instant now) {
         this.placementPolicy = placementPolicy;
         this.now = now;
+        this.workers = workers;
         for (WorkerState worker : workers) {
             if (usable.test(worker)) {
-                candidates.add(
-                        new PlacementCandidate(worker, interference, placementPolicy.quarantined(worker, now), now));
+                candidates.add(new PlacementCandidate(
+                        worker, interference, placementPolicy.quarantined(worker, now), preferredRacks, now));
+            }
+        }
+    }
+
+    /** Returns the racks of the registered workers, usable or not. */
+    Racks racks() {
+        if (racks == null) {
+            racks = new Racks(workers.stream()
+                    .filter(WorkerState::registered)
+                    .map(worker -> worker.entry().labels())
+                    .toList());
+        }
+        return racks;
+    }
+
+    /** Returns whether the step permits one of its tasks on the worker, regardless of free capacity. */
+    boolean permits(Step step, WorkerState worker) {
+        return placementPolicy.permits(step, worker);
+    }
+
+    List<PlacementCandidate> candidates() {
+        return candidates;
+    }
+
+    /** Returns the usable workers of a service that have a label. */
+    List<PlacementCandidate> candidates(ServiceName service, String label) {
+        if (candidatesByLabel == null) {
+            candidatesByLabel = new HashMap<>();
+            for (PlacementCandidate candidate : candidates) {
+                for (String each : candidate.worker().entry().labels()) {
+                    candidatesByLabel
+                            .computeIfAbsent(each, key -> new ArrayList<>())
+                            .add(candidate);
+                }
             }
         }
+        return candidatesByLabel.getOrDefault(label, List.of()).stream()
+                .filter(candidate -> candidate.worker().entry().service().equals(service))
+                .toList();
     }
 
     /** Starts the search for workers for the tasks of a step. */
@@ -47,6 +101,9 @@
 
         private final double[] scores = new double[candidates.size()];
 
+        /** The step's group rack when the scores were computed. */
+        private GroupRack scoredGroupRack;
+
         private Search(Step step) {
             this.step = step;
             scoreAll();
@@ -76,7 +133,7 @@
         /** Updates the scores after a task of the step was placed on a worker. */
         void onPlaced(PlacementCandidate candidate) {
             candidate.refresh();
-            if (PlacementPolicy.dependsOnOthers(step.spec())) {
+            if (step.spec().latencyCritical() || !Objects.equals(scoredGroupRack, step.groupRack())) {
                 scoreAll();
             } else {
                 int index = candidates.indexOf(candidate);
@@ -85,6 +142,7 @@
         }
 
         private void scoreAll() {
+            scoredGroupRack = step.groupRack();
             boolean reserveExhausted = placementPolicy.reserveExhausted(candidates);
             for (int i = 0; i < scores.length; i++) {
                 scores[i] = placementPolicy.score(step, candidates.get(i), reserveExhausted);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
@@ -54,7 +55,17 @@
 
     /** Starts a pass that places waiting tasks on the usable workers. */
     PlacementPass startPass(Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
-        return new PlacementPass(this, interference, workers, usable, now);
+        return startPass(workers, usable, Set.of(), now);
+    }
+
+    /**
+     * Starts a pass that places waiting tasks on the usable workers.
+     *
+     * @param preferredRacks the racks whose workers tasks without a preference for them use last
+     */
+    PlacementPass startPass(
+            Collection<WorkerState> workers, Predicate<WorkerState> usable, Set<String> preferredRacks, Instant now) {
+        return new PlacementPass(this, interference, workers, usable, preferredRacks, now);
     }
 
     /** Returns whether a worker gets no new short tasks. */
@@ -76,11 +87,6 @@
         return serviceMatches && labelMatches && belowMaxPerWorker;
     }
 
-    /** Returns whether a placement on one worker may change the step's scores on other workers. */
-    static boolean dependsOnOthers(StepSpec spec) {
-        return spec.latencyCritical() || spec.sameRack();
-    }
-
     /** Returns whether at most {@link #RESERVED_WORKER_SHARE} of the workers are free of latency-critical tasks. */
     boolean reserveExhausted(List<PlacementCandidate> candidates) {
         long workersWithoutLatencyCritical = candidates.stream()
@@ -141,7 +147,14 @@
         if (candidate.quarantined() || worker.entry().warmUpRemainingMillis() > 0) {
             penalty += LAST_RESORT_PENALTY;
         }
-        if (spec.sameRack() && !sharesRackWithStep(step, worker)) {
+        boolean outsideGroupRack = spec.sameRack()
+                && step.groupRack() != null
+                && !worker.entry().labels().contains(step.groupRack().rack());
+        boolean takesPreferredWorker = candidate.preferredByOthers(step) && !spec.lasting() && !spec.fills();
+        if (takesPreferredWorker) {
+            penalty += LAST_RESORT_PENALTY / 100;
+        }
+        if (outsideGroupRack) {
             penalty += LAST_RESORT_PENALTY / 20;
         }
         return penalty;
@@ -154,21 +167,4 @@
         return candidate.unusedMilliCores() + candidate.idleLatencyCriticalMilliCores() >= neededMilliCores
                 && headroom >= ThrottleController.TARGET_HEADROOM + HEADROOM_RESERVE;
     }
-
-    /**
-     * Returns whether the worker has the same labels (its kind and its rack) as the registered worker of the
-     * first task of the step that has one, or true if none has.
-     */
-    private static boolean sharesRackWithStep(Step step, WorkerState worker) {
-        for (Task other : step.tasks()) {
-            if (other.run() != null && other.run().worker().registered()) {
-                return other.run()
-                        .worker()
-                        .entry()
-                        .labels()
-                        .equals(worker.entry().labels());
-            }
-        }
-        return true;
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.flamingopitch.scheduler.cell.locality.PlacementWait;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
@@ -47,6 +48,8 @@
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final RackWaitPlanner rackWaits;
+
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
     private final CompletionRate completionRate;
@@ -80,7 +83,10 @@
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
         PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
-        this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
+        this.rackWaits =
+                new RackWaitPlanner(timings.farFactor(), estimates, new PlacementWait(), context::recordRackWait);
+        this.placer =
+                new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution, rackWaits);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
@@ -346,7 +352,7 @@
                                     task.step().spec().estimateMillis()),
                     context.now());
             long durationMillis =
-                    Duration.between(run.placedAt(), context.now()).toMillis();
+                    (long) (Duration.between(run.placedAt(), context.now()).toMillis() / rackWaits.distanceFactor(run));
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
             health.recordSuccess(worker.id(), slowdown);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.flamingopitch.scheduler.cell.locality.GroupRack;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 
@@ -33,6 +34,9 @@
 
     private Instant headroomAloneAt;
 
+    /** The rack of the tasks of a step with {@link StepSpec#sameRack()}; null before the first placement. */
+    private GroupRack groupRack;
+
     Step(Job job, int occurrence, int index, StepSpec spec) {
         this.job = job;
         this.occurrence = occurrence;
@@ -71,6 +75,14 @@
         return doneCount >= tasks.size();
     }
 
+    GroupRack groupRack() {
+        return groupRack;
+    }
+
+    void setGroupRack(GroupRack newGroupRack) {
+        groupRack = newGroupRack;
+    }
+
     /** Returns whether the headroom ratio without best-effort tasks was updated within the given time. */
     boolean headroomAloneKnown(Duration validity, Instant now) {
         return headroomAloneAt != null && now.isBefore(headroomAloneAt.plus(validity));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -42,6 +42,12 @@
 
     private Instant waitingSince;
 
+    /** When the task was first left waiting for its rack; null if it never was. */
+    private Instant rackWaitSince;
+
+    /** Whether the task was placed after it had been left waiting for its rack. */
+    private boolean rackWaitEnded;
+
     Task(Step step, TaskRef ref) {
         this.step = step;
         this.ref = ref;
@@ -127,6 +133,24 @@
         return waitingSince;
     }
 
+    /** Returns when the task was first left waiting for its rack, or null if it never was. */
+    Instant rackWaitSince() {
+        return rackWaitSince;
+    }
+
+    void startRackWait(Instant now) {
+        rackWaitSince = now;
+    }
+
+    /** Returns whether the wait for the rack is over; a task that is placed again does not wait again. */
+    boolean rackWaitEnded() {
+        return rackWaitEnded;
+    }
+
+    void endRackWait() {
+        rackWaitEnded = true;
+    }
+
     int lastRunNumber() {
         return lastRunNumber;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -46,6 +46,8 @@
 
     private final IsolationPlanner isolationPlanner;
 
+    private final RackWaitPlanner rackWaits;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -59,6 +61,9 @@
 
     private Instant lastPassAt = Instant.MIN;
 
+    /** The last time for which a pass was requested because of a task that waits for its rack. */
+    private Instant rackDecisionAt = Instant.MIN;
+
     TaskPlacer(
             CellContext context,
             JobTable jobs,
@@ -66,7 +71,8 @@
             WorkerOrderSender orderSender,
             WorkerHealth health,
             JobQueueOrder queueOrder,
-            CrashAttribution crashAttribution) {
+            CrashAttribution crashAttribution,
+            RackWaitPlanner rackWaits) {
         this.context = context;
         this.jobs = jobs;
         this.placementPolicy = placementPolicy;
@@ -74,6 +80,7 @@
         this.health = health;
         this.queueOrder = queueOrder;
         this.crashAttribution = crashAttribution;
+        this.rackWaits = rackWaits;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
@@ -115,11 +122,25 @@
             }
         }
         FailedPlacements failures = new FailedPlacements();
-        PlacementPass pass = placementPolicy.startPass(workerRegistry.workers(), worker -> usable(worker, now), now);
+        PlacementPass pass = placementPolicy.startPass(
+                workerRegistry.workers(), worker -> usable(worker, now), rackWaits.preferredRacks(jobs.open()), now);
+        rackWaits.startPass(pass, now);
         placeInIsolation(pass, now);
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
+        scheduleRackDecision(now);
+    }
+
+    /** Requests a pass for the time at which a task left waiting for its rack is to be decided again. */
+    private void scheduleRackDecision(Instant now) {
+        Instant decisionAt = rackWaits.nextDecisionAt();
+        boolean alreadyScheduled = rackDecisionAt.isAfter(now) && !decisionAt.isBefore(rackDecisionAt);
+        if (decisionAt.equals(Instant.MAX) || alreadyScheduled) {
+            return;
+        }
+        rackDecisionAt = decisionAt;
+        context.schedule(Duration.between(now, decisionAt), this::requestPass);
     }
 
     private static boolean hasWaitingTask(Job job, long timeOfDayMillis, Instant now) {
@@ -140,11 +161,8 @@
                 if (step.done() || !step.ready(timeOfDayMillis)) {
                     continue;
                 }
-                placed |= placeStep(step, pass, failures.covers(step), now);
-                if (step.waitingCount(now) > 0) {
-                    failures.add(step);
-                    tasksWaiting = true;
-                }
+                placed |= placeStep(step, pass, failures, now);
+                tasksWaiting |= step.waitingCount(now) > 0;
             }
         }
         if (placed) {
@@ -153,17 +171,21 @@
     }
 
     /**
-     * Places the waiting tasks of a step.
-     *
-     * @param onlyReserved whether to place only tasks that a worker is reserved for, as no other worker has capacity
+     * Places the waiting tasks of a step; only those that a worker is reserved for if no other worker has capacity. Adds
+     * the step to the failures if a task found no capacity, but not if it waits for its rack.
      */
-    private boolean placeStep(Step step, PlacementPass pass, boolean onlyReserved, Instant now) {
+    private boolean placeStep(Step step, PlacementPass pass, FailedPlacements failures, Instant now) {
+        boolean onlyReserved = failures.covers(step);
         List<Task> tasks = step.tasks().stream()
                 .filter(task -> task.waiting(now) && (!onlyReserved || task.hasReservation(now)))
                 .toList();
         if (tasks.isEmpty()) {
             return false;
         }
+        RackWaitPlanner.StepPlan plan = rackWaits.plan(step);
+        if (plan.keepsAllWaiting(tasks)) {
+            return false;
+        }
         boolean placed = false;
         boolean capacityExhausted = false;
         PlacementPass.Search search = pass.search(step);
@@ -177,16 +199,23 @@
                 requestCapacity(task, now);
                 continue;
             }
+            if (plan.leavesWaiting(task, candidate)) {
+                continue;
+            }
             place(task, candidate, now);
             search.onPlaced(candidate);
             placed = true;
         }
+        if (capacityExhausted) {
+            failures.add(step);
+        }
         return placed;
     }
 
     private void place(Task task, PlacementCandidate candidate, Instant now) {
         Run run = task.place(candidate.worker(), now);
         candidate.worker().add(run);
+        rackWaits.onPlaced(task, candidate);
         commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -1,7 +1,9 @@
 package org.flamingopitch.scheduler.cell.port;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -32,4 +34,12 @@
      * @param handler receives the registrations, or a failure, exactly once
      */
     void listWorkers(Consumer<WorkerListing> handler);
+
+    /**
+     * Records in the metrics that the wait of a task for its rack has ended.
+     *
+     * @param outcome how it ended
+     * @param waited how long it was
+     */
+    default void recordRackWait(RackWaitOutcome outcome, Duration waited) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -21,6 +21,7 @@
 import org.flamingopitch.scheduler.cell.entry.CellNode;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -33,7 +34,6 @@
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
-import org.flamingopitch.scheduler.model.Resources;
 
 /** A simulated cell: hosts, workers and a store on one clock that the test advances, without network and threads. */
 public final class CellSession {
@@ -76,6 +76,10 @@
 
     private int maxExtraLatencyMillis;
 
+    private double farFactor = 1;
+
+    private final List<RackWaitOutcome> rackWaitOutcomes = new ArrayList<>();
+
     /** Creates a session in which every call takes the same time. */
     public CellSession() {
         this(0);
@@ -118,6 +122,11 @@
         maxExtraLatencyMillis = (int) maxExtra.toMillis();
     }
 
+    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
+    void setFarFactor(double factor) {
+        farFactor = factor;
+    }
+
     /**
      * Adds a worker.
      *
@@ -316,23 +325,7 @@
      * @return the specification
      */
     public static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, 0),
-                1_000,
-                after,
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                longRunning,
-                null,
-                0,
-                false,
-                0);
+        return StepSpecs.plain(count, milliCores, longRunning, after);
     }
 
     /**
@@ -349,8 +342,9 @@
                 .toList();
     }
 
-    private static KeyValueResult connectionReset() {
-        return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
+    /** Returns how the waits of tasks for their racks ended, in order. */
+    List<RackWaitOutcome> rackWaitOutcomes() {
+        return rackWaitOutcomes;
     }
 
     private long clockMillis() {
@@ -376,7 +370,7 @@
             self = new OwnerRecord(new ProcessId(name + "." + startedHosts), name, processors);
             Duration second = Duration.ofSeconds(1);
             CellTimings timings = new CellTimings(
-                    Duration.ofSeconds(6), Duration.ofSeconds(120), second.multipliedBy(3), second, second);
+                    Duration.ofSeconds(6), Duration.ofSeconds(120), second.multipliedBy(3), second, second, farFactor);
             node = new CellNode(this, this, self, timings);
         }
 
@@ -412,7 +406,7 @@
 
         private void executeStoreCall(KeyValueRequest request, Instant receivedAt, Consumer<KeyValueResult> handler) {
             if (storeConnectionsReset || !partitions.reachesStore(self.address())) {
-                answer(Duration.ZERO, () -> handler.accept(connectionReset()));
+                answer(Duration.ZERO, () -> handler.accept(Partitions.connectionReset()));
                 return;
             }
             KeyValueResult result = store.apply(request);
@@ -433,7 +427,12 @@
             if (request.changesStore() && executionDelay < MAX_LATE_EXECUTION_MILLIS) {
                 pendingCalls.add(now.plusMillis(executionDelay), () -> store.apply(request));
             }
-            answer(latency, () -> handler.accept(connectionReset()));
+            answer(latency, () -> handler.accept(Partitions.connectionReset()));
+        }
+
+        @Override
+        public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
+            rackWaitOutcomes.add(outcome);
         }
 
         @Override
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -56,6 +56,8 @@
 
     private boolean draining;
 
+    private String rack = "r1";
+
     private double clockRate = 1;
 
     private long startDelayMillis;
@@ -159,6 +161,15 @@
         stopsLost = areLost;
     }
 
+    /**
+     * Sets the rack.
+     *
+     * @param label the label of the rack
+     */
+    public void setRack(String label) {
+        rack = label;
+    }
+
     /**
      * Sets whether the registration of this worker shows it as draining.
      *
@@ -272,7 +283,7 @@
                 0,
                 0,
                 capacity,
-                Set.of("a", "r1"));
+                Set.of("a", rack));
     }
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.flamingopitch.coordination.api.Failure;
+import org.flamingopitch.coordination.kv.KeyValueResult;
 
 /** The hosts of a simulated cell whose calls to the store or to a worker get no answer and have no effect. */
 public final class Partitions {
@@ -47,4 +49,9 @@
     }
 
     private record Link(String host, String worker) {}
+
+    /** Returns the result of a call to the store whose connection was reset. */
+    static KeyValueResult connectionReset() {
+        return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
+    }
 }
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/locality/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions of delay scheduling. */
+package org.flamingopitch.scheduler.cell.locality;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -55,12 +55,37 @@
                 0);
     }
 
+    /** Creates a step of short tasks that prefer a rack, or that run on one rack if they are a group. */
+    static StepSpec rackStep(int count, long milliCores, long estimateMillis, String preferredRack, boolean group) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, 10, 0),
+                estimateMillis,
+                List.of(),
+                false,
+                false,
+                group,
+                null,
+                preferredRack,
+                0,
+                false,
+                false,
+                null,
+                0,
+                false,
+                0);
+    }
+
     static Job job(String id, StepSpec step, Instant submittedAt) {
         JobSpec spec = new JobSpec("work", List.of(step), 0, 0, 0);
         return new Job(new JobId(id), queue(), spec, submittedAt, submittedAt.toEpochMilli());
     }
 
     static WorkerState worker(String name, long milliCores) {
+        return worker(name, milliCores, "r1");
+    }
+
+    static WorkerState worker(String name, long milliCores, String rack) {
         WorkerState worker = new WorkerState(new WorkerId(name), NOW);
         worker.register(new WorkerEntry(
                 worker.id(),
@@ -72,7 +97,7 @@
                 0,
                 0,
                 new Resources(milliCores, 100_000, 0),
-                Set.of("a", "r1")));
+                Set.of("a", rack)));
         worker.recordReport(1, 0, Duration.ofSeconds(6), NOW);
         return worker;
     }
