--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -57,6 +57,9 @@
             "Time of an order to a worker, waiting time included.",
             "operation");
 
+    private final Histogram rackWait = registerHistogram(
+            "flamingopitch_rack_wait_seconds", "Time that a task was left waiting for its rack.", "outcome");
+
     private final Gauge owner = Gauge.builder()
             .name("flamingopitch_cell_owner")
             .help("1 while this host owns the cell, otherwise 0.")
@@ -134,6 +137,10 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
+    void recordRackWait(String outcome, Duration waited) {
+        rackWait.labelValues(outcome).observe(seconds(waited));
+    }
+
     @Override
     public void recordAdmission(int priority, String outcome) {
         String label = Integer.toString(Math.max(0, Math.min(LAST_PRIORITY_LABEL, priority)));
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -13,6 +13,7 @@
 import org.flamingopitch.platform.WorkerClient;
 import org.flamingopitch.platform.WorkerDirectory;
 import org.flamingopitch.scheduler.cell.disruption.MoveListener;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
@@ -125,6 +126,11 @@
         return metrics;
     }
 
+    @Override
+    public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
+        metrics.recordRackWait(outcome.label(), waited);
+    }
+
     /** Returns the metric label for a value of a sealed type; such a type has a fixed number of labels. */
     static String metricLabel(Object value) {
         return value.getClass().getSimpleName();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellTimings.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * The time limits that the platform sets for a cell.
+ * The time limits, and the factor on the duration of remote tasks, that the platform sets for a cell.
  *
  * @param maxLease the longest lease under which a worker runs tasks without an extension
  * @param doneJobRetention how long the state of a job can be read after its end
@@ -14,6 +14,8 @@
  *     deployment has no evacuations
  * @param restoreTime how long a task takes to resume from a checkpoint
  * @param checkpointInterval the work between two checkpoints of a task; zero if it is not known
+ * @param farFactor the factor on the duration of a task that runs outside its preferred rack, or whose group is spread
+ *     over several racks; at least 1
  */
 public record CellTimings(
         Duration maxLease,
@@ -23,10 +25,18 @@
         Duration unavailableAfter,
         Duration evacuationLimit,
         Duration restoreTime,
-        Duration checkpointInterval) {
+        Duration checkpointInterval,
+        double farFactor) {
+
+    /** Rejects a factor with which remote tasks would be faster. */
+    public CellTimings {
+        if (!(farFactor >= 1) || Double.isInfinite(farFactor)) {
+            throw new IllegalArgumentException("farFactor must be a number of at least 1, found " + farFactor);
+        }
+    }
 
     /**
-     * Creates the time limits of a platform that has no evacuations and does not tell how tasks resume from checkpoints.
+     * Creates the time limits of a platform without evacuations, checkpoints and preferred racks.
      *
      * @param maxLease the longest lease under which a worker runs tasks without an extension
      * @param doneJobRetention how long the state of a job can be read after its end
@@ -48,6 +58,7 @@
                 unavailableAfter,
                 Duration.ZERO,
                 Duration.ZERO,
-                Duration.ZERO);
+                Duration.ZERO,
+                1);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -262,6 +262,11 @@
         return measurement;
     }
 
+    /** Returns when the progress last rose, or the run was last seen paused. */
+    Instant progressAt() {
+        return progressAt;
+    }
+
     /** Returns whether reports have shown no progress for a time; a time without reports shows nothing. */
     boolean withoutProgressFor(Duration time) {
         return !reportedAt.isBefore(progressAt.plus(time));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.disruption.EvacuationLimit;
+import org.flamingopitch.scheduler.cell.locality.PlacementWait;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
@@ -52,6 +53,8 @@
 
     private final DurationEstimates estimates = new DurationEstimates();
 
+    private final RackWaitPlanner rackWaits;
+
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
     private final ServiceShares shares = new ServiceShares();
@@ -92,8 +95,18 @@
         this.placementPolicy = new PlacementPolicy(health, interference);
         BestEffortPreemption bestEffortPreemption =
                 new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
+        this.rackWaits =
+                new RackWaitPlanner(timings.farFactor(), estimates, new PlacementWait(), context::recordRackWait);
         this.placer = new TaskPlacer(
-                context, jobs, placementPolicy, orderSender, health, order, crashAttribution, bestEffortPreemption);
+                context,
+                jobs,
+                placementPolicy,
+                orderSender,
+                health,
+                order,
+                crashAttribution,
+                bestEffortPreemption,
+                rackWaits);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
@@ -383,7 +396,7 @@
         if (run != null) {
             recordBestEffortWork(task);
             long durationMillis =
-                    Duration.between(run.placedAt(), context.now()).toMillis();
+                    (long) (Duration.between(run.placedAt(), context.now()).toMillis() / rackWaits.distanceFactor(run));
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
             if (run.beginKnown()) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -23,6 +23,7 @@
 import org.flamingopitch.scheduler.cell.entry.CellNode;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -78,6 +79,10 @@
 
     private int maxExtraLatencyMillis;
 
+    private double farFactor = 1;
+
+    private final List<RackWaitOutcome> rackWaitOutcomes = new ArrayList<>();
+
     /** Creates a session in which every call takes the same time. */
     public CellSession() {
         this(0);
@@ -120,6 +125,11 @@
         maxExtraLatencyMillis = (int) maxExtra.toMillis();
     }
 
+    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
+    void setFarFactor(double factor) {
+        farFactor = factor;
+    }
+
     /**
      * Adds a worker.
      *
@@ -345,6 +355,11 @@
                 .toList();
     }
 
+    /** Returns how the waits of tasks for their racks ended, in order. */
+    List<RackWaitOutcome> rackWaitOutcomes() {
+        return rackWaitOutcomes;
+    }
+
     private long clockMillis() {
         return Duration.between(START_TIME, now).toMillis();
     }
@@ -366,7 +381,7 @@
         private Host(String name, double processors) {
             startedHosts++;
             self = new OwnerRecord(new ProcessId(name + "." + startedHosts), name, processors);
-            node = new CellNode(this, this, self, InitialConfiguration.timings());
+            node = new CellNode(this, this, self, InitialConfiguration.timings(farFactor));
         }
 
         @Override
@@ -425,6 +440,11 @@
             answer(latency, () -> handler.accept(FakeStore.failure("connection reset")));
         }
 
+        @Override
+        public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
+            rackWaitOutcomes.add(outcome);
+        }
+
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -61,6 +61,8 @@
     /** The progress that all runs report, or negative if it rises with the time. */
     private double reportedPercent = -1;
 
+    private String rack = "r1";
+
     private double clockRate = 1;
 
     private long startDelayMillis;
@@ -164,6 +166,15 @@
         stopsLost = areLost;
     }
 
+    /**
+     * Sets the rack.
+     *
+     * @param label the label of the rack
+     */
+    public void setRack(String label) {
+        rack = label;
+    }
+
     /**
      * Sets whether the registration of this worker shows it as draining.
      *
@@ -295,7 +306,7 @@
                 0,
                 0,
                 capacity,
-                Set.of("a", "r1"));
+                Set.of("a", rack));
     }
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/InitialConfiguration.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/InitialConfiguration.java
@@ -13,7 +13,7 @@
 
     private InitialConfiguration() {}
 
-    static CellTimings timings() {
+    static CellTimings timings(double farFactor) {
         Duration second = Duration.ofSeconds(1);
         return new CellTimings(
                 Duration.ofSeconds(6),
@@ -23,7 +23,8 @@
                 second,
                 Duration.ofSeconds(5),
                 Duration.ZERO,
-                Duration.ZERO);
+                Duration.ZERO,
+                farFactor);
     }
 
     static CellConfiguration create() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
@@ -14,16 +14,26 @@
     private SampleSteps() {}
 
     static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after, int maxUnavailable) {
-        return create(count, milliCores, longRunning, after, null, 0, false, maxUnavailable);
+        return create(count, milliCores, longRunning, after, false, null, null, 0, false, maxUnavailable);
     }
 
     /** Creates the step of a task that is latency-critical. */
     static StepSpec latencyCritical(String image, long milliCores, double targetMillis) {
-        return create(1, milliCores, true, List.of(), image, targetMillis, false, 0);
+        return create(1, milliCores, true, List.of(), false, null, image, targetMillis, false, 0);
     }
 
     static StepSpec bestEffort(String image, long milliCores) {
-        return create(1, milliCores, false, List.of(), image, 0, true, 0);
+        return create(1, milliCores, false, List.of(), false, null, image, 0, true, 0);
+    }
+
+    /** Creates a step whose tasks prefer a rack. */
+    static StepSpec preferringRack(int count, long milliCores, String rack) {
+        return create(count, milliCores, false, List.of(), false, rack, null, 0, false, 0);
+    }
+
+    /** Creates a step whose tasks are slower on several racks. */
+    static StepSpec group(int count, long milliCores) {
+        return create(count, milliCores, false, List.of(), true, null, null, 0, false, 0);
     }
 
     private static StepSpec create(
@@ -31,6 +41,8 @@
             long milliCores,
             boolean longRunning,
             List<Integer> after,
+            boolean sameRack,
+            String rack,
             String image,
             double targetMillis,
             boolean bestEffort,
@@ -42,9 +54,9 @@
                 after,
                 true,
                 false,
-                false,
-                null,
+                sameRack,
                 null,
+                rack,
                 0,
                 false,
                 longRunning,
