Start copies of stragglers in steps that permit them

Cause: on one deployment 3 % of the short tasks take 7 times as long, and one of them delays its whole step. Three of ten steps of the urgent queue permit copies (speculative), but none was started.

Change: CopyPlanner asks StragglerPolicy 20 times a second which runs get a copy; the placement pass places these after all waiting tasks, on other workers. A task holds up to two open runs; Task.place is the only code that creates one, and throws if a task has one and may not have a copy. The record of a task names an open run before the last one in "earlier". The first end that is done counts, the other run is stopped, and its expected duration is kept in the distribution. When half of a step is done, its runs are compared with its own median, since the estimate of a step may be wrong as a whole. FakeWorker can end runs by itself; OuterNamesTest also records the outcomes of copies.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -51,6 +51,12 @@
             "Time of an order to a worker, waiting time included.",
             "operation");
 
+    private final Counter copies = Counter.builder()
+            .name("flamingopitch_copies_total")
+            .help("Copies of tasks by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+
     private final Gauge owner = Gauge.builder()
             .name("flamingopitch_cell_owner")
             .help("1 while this host owns the cell, otherwise 0.")
@@ -99,6 +105,10 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
+    void recordCopyOutcome(String outcome) {
+        copies.labelValues(outcome).inc();
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -17,6 +17,7 @@
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * Gives the cell node the time, timers, and calls to the store and the workers. The result of every call is passed to
@@ -113,6 +114,11 @@
         directory.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
 
+    @Override
+    public void recordCopyOutcome(CopyOutcome outcome) {
+        metrics.recordCopyOutcome(outcome.label());
+    }
+
     /** Returns the metric label for a value of a sealed type; such a type has a fixed number of labels. */
     static String metricLabel(Object value) {
         return value.getClass().getSimpleName();
--- a/daemon/src/test/java/org/flamingopitch/daemon/cell/OuterNamesTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cell/OuterNamesTest.java
@@ -53,6 +53,7 @@
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 import org.flamingopitch.scheduler.message.JobCommand;
 import org.flamingopitch.scheduler.message.JobView;
 import org.flamingopitch.scheduler.message.PeerMessage;
@@ -233,7 +234,13 @@
         addNames("transport outcomes", RequestOutcome.class);
         addNames("HTTP outcomes", HttpOutcome.class);
         for (Class<?> type : List.of(
-                Reason.class, AuditType.class, JobState.class, EndKind.class, OrderRejection.class, ExitCode.class)) {
+                Reason.class,
+                AuditType.class,
+                JobState.class,
+                EndKind.class,
+                OrderRejection.class,
+                CopyOutcome.class,
+                ExitCode.class)) {
             lines.add("constants: " + Arrays.toString(type.getEnumConstants()));
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
@@ -31,6 +31,12 @@
     /** By queue, the least recently used first. */
     private final Map<QueueName, DurationDistribution> distributions = new LinkedHashMap<>(16, 0.75f, true);
 
+    /**
+     * By queue, the ratios of durations to the median of their step. The estimate of a whole step may be wrong, so these
+     * vary less. Not stored: a successor learns them anew from 50 runs.
+     */
+    private final Map<QueueName, DurationDistribution> withinSteps = new LinkedHashMap<>(16, 0.75f, true);
+
     /**
      * Updates the average ratio of a queue with a completed run; returns the run's ratio divided by the average ratio
      * before it.
@@ -50,15 +56,24 @@
         if (estimateMillis <= 0) {
             return;
         }
-        distributions
-                .computeIfAbsent(queue, name -> new DurationDistribution())
-                .record((double) actualMillis / estimateMillis);
-        removeUnused();
+        record(distributions, queue, (double) actualMillis / estimateMillis);
     }
 
-    private void removeUnused() {
-        if (distributions.size() > MAX_DISTRIBUTIONS) {
-            distributions.remove(distributions.keySet().iterator().next());
+    /** Adds a run to the distribution of the ratios of durations to the median of their step. */
+    void recordWithinStep(QueueName queue, long medianMillis, long actualMillis) {
+        if (medianMillis > 0) {
+            record(withinSteps, queue, (double) actualMillis / medianMillis);
+        }
+    }
+
+    private static void record(Map<QueueName, DurationDistribution> byQueue, QueueName queue, double ratio) {
+        byQueue.computeIfAbsent(queue, name -> new DurationDistribution()).record(ratio);
+        removeUnused(byQueue);
+    }
+
+    private static void removeUnused(Map<QueueName, DurationDistribution> byQueue) {
+        if (byQueue.size() > MAX_DISTRIBUTIONS) {
+            byQueue.remove(byQueue.keySet().iterator().next());
         }
     }
 
@@ -89,7 +104,7 @@
                     DurationDistribution.decode(record.recentRatios(), record.formerRatios());
             if (distribution.runs() > 0) {
                 distributions.put(record.queue(), distribution);
-                removeUnused();
+                removeUnused(distributions);
             }
         } catch (IllegalArgumentException e) {
             LOGGER.atWarning().log(
@@ -107,6 +122,12 @@
         return distribution == null ? new DurationDistribution() : distribution;
     }
 
+    /** Returns the distribution of the ratios of durations to the median of their step; empty if there were no runs. */
+    DurationDistribution withinSteps(QueueName queue) {
+        DurationDistribution distribution = withinSteps.get(queue);
+        return distribution == null ? new DurationDistribution() : distribution;
+    }
+
     /** Returns the duration that the given share of the runs with this estimate does not exceed. */
     long quantileMillis(QueueName queue, long estimateMillis, double quantile) {
         return (long) (estimateMillis * distribution(queue).quantile(quantile));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -84,12 +84,23 @@
         if (record.done()) {
             task.markDone();
             task.step().incrementDoneCount();
-        } else if (record.worker() != null) {
-            WorkerState worker = workerRegistry.worker(record.worker());
-            worker.restoreAddress(record.address());
-            Run run = task.restoreRun(worker, record.run(), now);
-            run.restoreWorkerIncarnation(record.incarnation());
-            worker.add(run);
+            return;
         }
+        if (record.earlier() != null) {
+            restoreRun(task, record.earlier(), workerRegistry, now);
+        }
+        if (record.worker() != null) {
+            TaskRecord.OpenRun last =
+                    new TaskRecord.OpenRun(record.run(), record.worker(), record.address(), record.incarnation());
+            restoreRun(task, last, workerRegistry, now);
+        }
+    }
+
+    private static void restoreRun(Task task, TaskRecord.OpenRun open, WorkerRegistry workerRegistry, Instant now) {
+        WorkerState worker = workerRegistry.worker(open.worker());
+        worker.restoreAddress(open.address());
+        Run run = task.restoreRun(worker, open.run(), now);
+        run.restoreWorkerIncarnation(open.incarnation());
+        worker.add(run);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -61,6 +61,7 @@
                 Task reservedFor = worker.reservedFor(now);
                 if (scores[i] <= bestScore
                         || reservedFor != null && reservedFor != task
+                        || task.hasRunOn(worker)
                         || !candidates.get(i).admits(task)) {
                     continue;
                 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -118,6 +118,10 @@
     /** Returns what is deducted from a worker's score because of the task's earlier runs. */
     static double penalty(Task task, PlacementCandidate candidate) {
         double penalty = task.avoids(candidate.worker().id()) ? LAST_RESORT_PENALTY : 0;
+        if (task.run() != null && sharesLabels(task.run().worker(), candidate.worker())) {
+            // A copy goes to another rack, unless the step's tasks belong on one rack.
+            penalty += LAST_RESORT_PENALTY / 40;
+        }
         if (candidate.endangers(task)) {
             penalty += LAST_RESORT_PENALTY / 2;
         }
@@ -128,6 +132,11 @@
         return penalty;
     }
 
+    private static boolean sharesLabels(WorkerState worker, WorkerState other) {
+        return worker.registered()
+                && worker.entry().labels().equals(other.entry().labels());
+    }
+
     private double penalty(Step step, PlacementCandidate candidate) {
         WorkerState worker = candidate.worker();
         StepSpec spec = step.spec();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.flamingopitch.scheduler.cell.speculation.RunProgress;
 
 /**
  * One start of a task on a worker. Its resources stay reserved there until the run is known to have ended.
@@ -77,6 +78,11 @@
     /** When the progress last rose, or the run was last seen paused. */
     private Instant progressAt;
 
+    /** The progress from which the speed of the run is measured; negative until it is known. */
+    private double basePercent = -1;
+
+    private Instant baseAt;
+
     /** Since when all measurements of a latency-critical task are over its target; null if the last one is not. */
     private Instant overTargetSince;
 
@@ -145,7 +151,7 @@
     /** Releases the resources reserved on the worker and removes this run from its task. */
     void release(Instant now) {
         worker.remove(this, now);
-        task.clearRun(now);
+        task.remove(this, now);
     }
 
     RunPhase phase() {
@@ -163,6 +169,10 @@
         confirmed |= next == RunPhase.RUNNING;
         if (startedAt == null && next == RunPhase.SENT) {
             startedAt = now;
+            if (task.checkpoint().isEmpty()) {
+                basePercent = 0;
+                baseAt = now;
+            }
         }
         phaseSince = now;
         unansweredOrders = 0;
@@ -176,6 +186,7 @@
 
     void markBeginUnknown() {
         beginKnown = false;
+        basePercent = -1;
     }
 
     boolean recorded() {
@@ -237,6 +248,17 @@
         return progressAt;
     }
 
+    /** Returns how long the run has lasted, and its progress since it was started or first reported. */
+    RunProgress progress(Instant now) {
+        boolean observed = basePercent >= 0 && progressPercent > basePercent;
+        return new RunProgress(
+                Duration.between(placedAt, now).toMillis(),
+                progressPercent,
+                observed ? progressPercent - basePercent : 0,
+                observed ? Duration.between(baseAt, progressAt).toMillis() : 0,
+                Duration.between(progressAt, now).toMillis());
+    }
+
     /** Records the progress and the measurement of a worker's report. */
     void observe(double newProgressPercent, double newMeasurement, Instant now) {
         confirmed = true;
@@ -244,6 +266,10 @@
         if (newProgressPercent > progressPercent || throttledToPercent == 0) {
             progressAt = now;
         }
+        if (basePercent < 0) {
+            basePercent = newProgressPercent;
+            baseAt = now;
+        }
         progressPercent = newProgressPercent;
         measurement = newMeasurement;
         if (task.step().spec().latencyCritical() && measurement > 0) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -11,6 +11,7 @@
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * Manages the runs of all tasks of the cell: has waiting tasks placed, moves runs off draining workers and stalled
@@ -49,6 +50,8 @@
 
     private final AverageJobWork averageJobWork = new AverageJobWork();
 
+    private final CopyPlanner copyPlanner;
+
     private final CompletionRate completionRate;
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
@@ -80,7 +83,9 @@
         this.orderSender = new WorkerOrderSender(context, fencingToken, timings.maxLease(), this);
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork);
         PlacementPolicy placementPolicy = new PlacementPolicy(health, interference);
-        this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
+        this.copyPlanner = new CopyPlanner(context, jobs, estimates);
+        this.placer = new TaskPlacer(
+                context, jobs, placementPolicy, orderSender, health, order, crashAttribution, copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
@@ -94,6 +99,7 @@
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
         runMover = new RunMover(orderSender, newWorkerRegistry, estimates, health);
+        copyPlanner.enable(newWorkerRegistry);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
 
@@ -164,21 +170,22 @@
         commitLog.write(job, true, null);
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                step.tasks().forEach(this::stopIfRunning);
+                step.tasks().forEach(this::stopRuns);
             }
         }
         placer.requestPass();
     }
 
-    private void stopIfRunning(Task task) {
-        Run run = task.run();
-        if (run == null) {
-            return;
+    private void stopRuns(Task task) {
+        if (task.copy() != null && !task.done()) {
+            copyPlanner.recordOutcome(CopyOutcome.CANCELLED);
         }
-        if (run.phase() == RunPhase.PLANNED) {
-            run.release(context.now());
-        } else {
-            orderSender.stop(run);
+        for (Run run : task.runs()) {
+            if (run.phase() == RunPhase.PLANNED) {
+                run.release(context.now());
+            } else {
+                orderSender.stop(run);
+            }
         }
     }
 
@@ -193,6 +200,9 @@
             return;
         }
         lastTickAt = now;
+        if (copyPlanner.planIfDue(now)) {
+            placer.requestPass();
+        }
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
@@ -272,7 +282,11 @@
 
     private void reschedule(Run run, Duration delay) {
         Task task = run.task();
+        Run copy = task.copy();
         run.release(context.now());
+        if (copy != null && task.job().open() && !task.done()) {
+            copyPlanner.recordEnd(task, run, copy);
+        }
         if (!delay.isZero()) {
             task.delayUntil(context.now().plus(delay));
             context.schedule(delay, placer::requestPass);
@@ -289,21 +303,24 @@
         }
         LOGGER.atInfo().log(
                 "event=end task=%s run=%d worker=%s kind=%s", end.task(), end.run(), worker.id(), end.kind());
-        Run run = task.run();
-        boolean currentRun = run != null && run.number() == end.run() && run.worker() == worker;
-        if (currentRun) {
+        Run run = task.run(end.run(), worker);
+        Run copy = task.copy();
+        if (run != null) {
             run.release(context.now());
         }
         if (task.done() || !task.job().open()) {
             return commitLog.write(task.job(), false, null);
         }
-        handleEnd(task, worker, end, currentRun ? run : null);
+        handleEnd(task, worker, end, run);
+        if (copy != null && (run != null || task.done())) {
+            copyPlanner.recordEnd(task, run, copy);
+        }
         placer.requestPass();
         return commitLog.write(task.job(), !task.job().open(), null);
     }
 
     private void handleEnd(Task task, WorkerState worker, RunEnd end, Run run) {
-        task.updateCheckpoint(end.checkpoint());
+        task.updateCheckpoint(run, end.checkpoint());
         if (end.kind().success()) {
             handleSuccess(task, worker, run);
             return;
@@ -333,10 +350,8 @@
         if (task.step().spec().lasting()) {
             return;
         }
-        if (task.run() != null) {
-            stopIfRunning(task);
-        }
         task.markDone();
+        stopRuns(task);
         task.step().incrementDoneCount();
         if (run != null) {
             completionRate.add(
@@ -350,8 +365,7 @@
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
             if (run.beginKnown()) {
-                estimates.recordDuration(
-                        task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
+                copyPlanner.recordCompleted(run, durationMillis);
             }
             health.recordSuccess(worker.id(), slowdown);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 
@@ -16,6 +16,9 @@
     /** Time constant that smooths imprecise single measurements; the load itself changes over seconds. */
     private static final Duration HEADROOM_SMOOTHING_TIME = Duration.ofMillis(400);
 
+    /** Fewer durations do not tell what is usual in a step. */
+    private static final int MIN_DURATIONS = 3;
+
     private final Job job;
 
     private final int occurrence;
@@ -28,6 +31,9 @@
 
     private int doneCount;
 
+    /** The durations of completed runs, ascending; of steps that permit copies only. */
+    private final List<Long> durations = new ArrayList<>();
+
     /** Smoothed headroom ratio without best-effort tasks on the worker; valid if {@link #headroomAloneAt} is set. */
     private double headroomAlone;
 
@@ -112,10 +118,34 @@
         return true;
     }
 
+    /** Returns whether a copy of a task may run beside it; best-effort tasks are slow because others are served. */
+    boolean permitsCopies() {
+        return spec.speculative() && !spec.lasting() && !spec.fills();
+    }
+
+    /** Adds the duration of the run that completed a task. */
+    void recordDuration(long millis) {
+        if (permitsCopies()) {
+            int index = Collections.binarySearch(durations, millis);
+            durations.add(index < 0 ? -index - 1 : index, millis);
+        }
+    }
+
+    /** Returns the durations of the runs that completed a task, ascending; none if the step permits no copies. */
+    List<Long> durations() {
+        return durations;
+    }
+
+    /** Returns the median duration of all the step's tasks, which is known when half of them are done; 0 before. */
+    long medianMillis() {
+        int middle = (tasks.size() - 1) / 2;
+        return durations.size() > Math.max(middle, MIN_DURATIONS - 1) ? durations.get(middle) : 0;
+    }
+
     int countRunsOn(WorkerState worker) {
         int count = 0;
         for (Task task : tasks) {
-            if (task.run() != null && task.run().worker() == worker) {
+            if (task.hasRunOn(worker)) {
                 count++;
             }
         }
@@ -129,8 +159,7 @@
         }
         Map<WorkerState, Integer> runsByWorker = new HashMap<>();
         return tasks.stream()
-                .map(Task::run)
-                .filter(Objects::nonNull)
+                .flatMap(task -> task.runs().stream())
                 .anyMatch(run -> runsByWorker.merge(run.worker(), 1, Integer::sum) >= spec.maxPerWorker());
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -2,13 +2,14 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.model.WorkerId;
 
 /**
- * A task of an open job: its present run, the number of its last run, the runs that failed, the runs under
- * which a worker crashed, and its checkpoint.
+ * A task of an open job: its open runs, the number of its last run, the runs that failed, the runs under
+ * which a worker crashed, and its checkpoint. It has at most one open run, or two if its step permits copies.
  */
 final class Task {
 
@@ -33,7 +34,8 @@
 
     private String checkpoint = "";
 
-    private Run run;
+    /** The open runs in the order of their numbers: none, one, or one and its copy. */
+    private final List<Run> runs = new ArrayList<>();
 
     /** The worker that was last reserved for this task, or null. */
     private WorkerState reservedWorker;
@@ -70,8 +72,56 @@
         checkpoint = "";
     }
 
+    /** Returns the open run, the first one if there are two, or null. */
     Run run() {
-        return run;
+        return runs.isEmpty() ? null : runs.get(0);
+    }
+
+    /** Returns the second of two open runs, or null. */
+    Run copy() {
+        return runs.size() < 2 ? null : runs.get(1);
+    }
+
+    /** Returns the open runs in the order of their numbers. */
+    List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    boolean hasRun(Run run) {
+        return runs.contains(run);
+    }
+
+    boolean hasRunOn(WorkerState worker) {
+        for (Run run : runs) {
+            if (run.worker() == worker) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the open run with a number on a worker, or null. */
+    Run run(int number, WorkerState worker) {
+        for (Run run : runs) {
+            if (run.number() == number && run.worker() == worker) {
+                return run;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Returns whether a copy may be started beside the only run of the task. If both runs should fail, the number of
+     * failures must not exceed what the queue permits. A task that may have crashed a worker runs on one worker only.
+     */
+    boolean copyable() {
+        return step.permitsCopies()
+                && job().open()
+                && !done
+                && runs.size() == 1
+                && run().phase() == RunPhase.RUNNING
+                && !suspect()
+                && failedRuns.size() + 2 <= job().queue().maxAttempts();
     }
 
     /**
@@ -88,7 +138,7 @@
     }
 
     private boolean readyForRun(Instant now) {
-        return !done && run == null && !now.isBefore(retryNotBefore);
+        return !done && runs.isEmpty() && !now.isBefore(retryNotBefore);
     }
 
     Instant retryNotBefore() {
@@ -99,10 +149,19 @@
         retryNotBefore = time;
     }
 
-    /** Creates the next run of the task, on a worker. */
+    /**
+     * Creates the next run of the task, on a worker.
+     *
+     * @throws IllegalStateException if the task has an open run and may not have a copy
+     */
     Run place(WorkerState worker, Instant now) {
+        boolean permitted = runs.isEmpty() || copyable() && !hasRunOn(worker);
+        if (!permitted) {
+            throw new IllegalStateException("task " + ref + " must not have another run beside " + runs);
+        }
         lastRunNumber++;
-        run = new Run(this, worker, lastRunNumber, now);
+        Run run = new Run(this, worker, lastRunNumber, now);
+        runs.add(run);
         return run;
     }
 
@@ -110,7 +169,9 @@
      * Restores a run that was recorded or started by a former owner; the next report shows whether the worker has it.
      */
     Run restoreRun(WorkerState worker, int number, Instant now) {
-        run = new Run(this, worker, number, now);
+        Run run = new Run(this, worker, number, now);
+        runs.add(run);
+        runs.sort(Comparator.comparingInt(Run::number));
         run.enterPhase(RunPhase.SENT, now);
         run.setOrderOutcomeKnown(Instant.MIN);
         run.markConfirmed();
@@ -118,9 +179,12 @@
         return run;
     }
 
-    void clearRun(Instant now) {
-        run = null;
-        waitingSince = now;
+    /** Removes an ended run; another one goes on as the only run of the task. */
+    void remove(Run run, Instant now) {
+        runs.remove(run);
+        if (runs.isEmpty()) {
+            waitingSince = now;
+        }
     }
 
     /** Returns since when the task has had no run: the end of its last one, or the submission of its job. */
@@ -221,4 +285,13 @@
             checkpoint = value;
         }
     }
+
+    /** Replaces the checkpoint by one of a run, unless another run has made more progress. */
+    void updateCheckpoint(Run reporter, String value) {
+        boolean behind = reporter != null
+                && runs.stream().anyMatch(run -> run != reporter && run.progressPercent() > reporter.progressPercent());
+        if (!behind) {
+            updateCheckpoint(value);
+        }
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.speculation.CopyCapacity;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * Places waiting tasks on workers, in the order of the job queue, and orders their start after the placement has been
@@ -46,6 +48,8 @@
 
     private final IsolationPlanner isolationPlanner;
 
+    private final CopyPlanner copyPlanner;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -57,6 +61,9 @@
     /** Whether the last pass left tasks waiting that were ready to start. */
     private boolean tasksWaiting;
 
+    /** The highest priority of a task that the present pass left waiting. */
+    private int waitingPriority;
+
     private Instant lastPassAt = Instant.MIN;
 
     TaskPlacer(
@@ -66,7 +73,8 @@
             WorkerOrderSender orderSender,
             WorkerHealth health,
             JobQueueOrder queueOrder,
-            CrashAttribution crashAttribution) {
+            CrashAttribution crashAttribution,
+            CopyPlanner copyPlanner) {
         this.context = context;
         this.jobs = jobs;
         this.placementPolicy = placementPolicy;
@@ -74,6 +82,7 @@
         this.health = health;
         this.queueOrder = queueOrder;
         this.crashAttribution = crashAttribution;
+        this.copyPlanner = copyPlanner;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
@@ -106,6 +115,7 @@
     private void runPass() {
         passRequested = false;
         tasksWaiting = false;
+        waitingPriority = CopyCapacity.NONE_WAITS;
         Instant now = context.now();
         long timeOfDayMillis = context.timeOfDayMillis();
         List<Job> waiting = new ArrayList<>();
@@ -120,6 +130,7 @@
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
+        placeCopies(pass, now);
     }
 
     private static boolean hasWaitingTask(Job job, long timeOfDayMillis, Instant now) {
@@ -143,7 +154,7 @@
                 placed |= placeStep(step, pass, failures.covers(step), now);
                 if (step.waitingCount(now) > 0) {
                     failures.add(step);
-                    tasksWaiting = true;
+                    recordWaiting(step);
                 }
             }
         }
@@ -184,10 +195,31 @@
         return placed;
     }
 
-    private void place(Task task, PlacementCandidate candidate, Instant now) {
+    /** Long-running tasks are placed first, whatever the priority of their queue. */
+    private void recordWaiting(Step step) {
+        tasksWaiting = true;
+        waitingPriority = Math.min(
+                waitingPriority,
+                step.spec().lasting() ? Integer.MIN_VALUE : step.job().queue().priority());
+    }
+
+    private Run place(Task task, PlacementCandidate candidate, Instant now) {
         Run run = task.place(candidate.worker(), now);
         candidate.worker().add(run);
         commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
+        return run;
+    }
+
+    /** Places the planned copies that the waiting tasks leave capacity for. */
+    private void placeCopies(PlacementPass pass, Instant now) {
+        for (CopyPlanner.Copy copy : copyPlanner.takePlanned(waitingPriority, now)) {
+            PlacementPass.Search search = pass.search(copy.task().step());
+            PlacementCandidate candidate = search.findBest(copy.task());
+            if (candidate != null) {
+                CopyPlanner.logStart(copy, place(copy.task(), candidate, now));
+                search.onPlaced(candidate);
+            }
+        }
     }
 
     /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
@@ -197,7 +229,7 @@
             PlacementCandidate candidate = search.findBest(task);
             if (candidate == null) {
                 isolationPlanner.reserve(task, workerRegistry.workers(), worker -> usable(worker, now), now);
-                tasksWaiting = true;
+                recordWaiting(task.step());
             } else {
                 place(task, candidate, now);
                 search.onPlaced(candidate);
@@ -219,13 +251,16 @@
 
     private void startIfStillPlanned(Run run) {
         Task task = run.task();
-        if (task.run() != run || run.phase() != RunPhase.PLANNED) {
+        if (!task.hasRun(run) || run.phase() != RunPhase.PLANNED) {
             return;
         }
         if (!mayAct.getAsBoolean() || !workerRegistry.usable(run.worker(), context.now())) {
             LOGGER.atInfo().log(
                     "event=start_dropped task=%s run=%d worker=%s",
                     task.ref(), run.number(), run.worker().id());
+            if (run == task.copy()) {
+                copyPlanner.recordOutcome(CopyOutcome.ENDED);
+            }
             run.release(context.now());
             passRequested = true;
             return;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
@@ -19,6 +19,7 @@
  * @param crashedRuns the numbers of the runs under which a worker crashed
  * @param possiblyCrashedRuns the numbers of the runs whose worker crashed before it confirmed their start
  * @param checkpoint the checkpoint to resume from, null to start from the beginning
+ * @param earlier an open run that was started before the last one, null if there is none
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 record TaskRecord(
@@ -33,7 +34,8 @@
         List<Integer> failedRuns,
         List<Integer> crashedRuns,
         List<Integer> possiblyCrashedRuns,
-        String checkpoint) {
+        String checkpoint,
+        OpenRun earlier) {
 
     TaskRecord {
         failedRuns = failedRuns == null ? List.of() : failedRuns;
@@ -42,7 +44,15 @@
     }
 
     static TaskRecord of(Task task) {
-        Run run = task.run();
+        Run run = null;
+        Run earlier = null;
+        for (Run open : task.runs()) {
+            if (open.number() == task.lastRunNumber()) {
+                run = open;
+            } else {
+                earlier = open;
+            }
+        }
         return new TaskRecord(
                 task.ref().occurrence(),
                 task.ref().step(),
@@ -55,6 +65,23 @@
                 task.failedRuns().isEmpty() ? null : List.copyOf(task.failedRuns()),
                 task.crashedRuns().isEmpty() ? null : List.copyOf(task.crashedRuns()),
                 task.possiblyCrashedRuns().isEmpty() ? null : List.copyOf(task.possiblyCrashedRuns()),
-                task.checkpoint().isEmpty() ? null : task.checkpoint());
+                task.checkpoint().isEmpty() ? null : task.checkpoint(),
+                earlier == null ? null : OpenRun.of(earlier));
+    }
+
+    /**
+     * An open run of a task that has a later one.
+     *
+     * @param run the number of the run
+     * @param worker its worker
+     * @param address the address of the worker, null if the worker has never answered
+     * @param incarnation the incarnation of the worker, 0 if it is not known
+     */
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+    record OpenRun(int run, WorkerId worker, String address, long incarnation) {
+
+        static OpenRun of(Run run) {
+            return new OpenRun(run.number(), run.worker().id(), run.worker().address(), run.workerIncarnation());
+        }
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -114,7 +114,7 @@
 
     private void handleStartAnswer(Run run, WorkerAnswer answer) {
         run.markOrderAnswered();
-        if (run.task().run() != run) {
+        if (!run.task().hasRun(run)) {
             return;
         }
         if (isRejectedByNewerFencingToken(answer)) {
@@ -168,7 +168,7 @@
 
     private void handleStopAnswer(Run run, WorkerAnswer answer) {
         run.markOrderAnswered();
-        if (run.task().run() != run) {
+        if (!run.task().hasRun(run)) {
             return;
         }
         if (isRejectedByNewerFencingToken(answer)) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -251,7 +251,7 @@
         }
         reportedRuns.add(run);
         run.observe(running.percent(), running.measurement(), now);
-        run.task().updateCheckpoint(running.checkpoint());
+        run.task().updateCheckpoint(run, running.checkpoint());
         if (run.phase() == RunPhase.SENT) {
             run.enterPhase(RunPhase.RUNNING, now);
             run.setOrderOutcomeKnown(now);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -32,4 +33,11 @@
      * @param handler receives the registrations, or a failure, exactly once
      */
     void listWorkers(Consumer<WorkerListing> handler);
+
+    /**
+     * Counts what became of a copy of a task; without effect where there are no metrics.
+     *
+     * @param outcome the outcome
+     */
+    default void recordCopyOutcome(CopyOutcome outcome) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongBiFunction;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
@@ -26,6 +27,8 @@
 
     private static final long CRASH_DELAY_MILLIS = 10;
 
+    private static final long REPORT_MILLIS = 1_500;
+
     private final String name;
 
     private final Resources capacity;
@@ -72,6 +75,11 @@
 
     private boolean crashed;
 
+    /** The durations of runs that end by themselves, by task and run number; null if the test ends them. */
+    private ToLongBiFunction<TaskRef, Integer> durations;
+
+    private final Map<TaskRef, Long> startMillis = new LinkedHashMap<>();
+
     /**
      * Creates a worker.
      *
@@ -107,6 +115,16 @@
         crashesAtOnce = atOnce;
     }
 
+    /**
+     * Lets runs end as done by themselves, and report their progress as it was at the last full interval of 1.5 s, which
+     * is as late as long polls report it.
+     *
+     * @param newDurations the duration in milliseconds by task and run number
+     */
+    public void setDurations(ToLongBiFunction<TaskRef, Integer> newDurations) {
+        durations = newDurations;
+    }
+
     /** Ends the worker's process with all its runs; orders are lost until it is restarted or replaced. */
     public void crash() {
         crashed = true;
@@ -291,6 +309,13 @@
         if (clockMillis >= crashAtMillis) {
             crash();
         }
+        if (durations != null) {
+            new LinkedHashMap<>(running).forEach((task, run) -> {
+                if (clockMillis >= startMillis.get(task) + durations.applyAsLong(task, run)) {
+                    end(task, EndKind.DONE);
+                }
+            });
+        }
         if (clockMillis >= leaseEndMillis) {
             List.copyOf(running.keySet()).forEach(task -> end(task, EndKind.LAPSED));
         }
@@ -330,13 +355,26 @@
             extendLease(hold.leaseEndMillis(), clockMillis);
             ended.removeIf(end -> end.sequenceNumber() <= hold.acknowledged());
             List<RunReport> reports = running.entrySet().stream()
-                    .map(each -> new RunReport(each.getKey(), each.getValue(), "", clockMillis / 1_000.0, 1))
+                    .map(each -> new RunReport(
+                            each.getKey(),
+                            each.getValue(),
+                            "",
+                            percent(each.getKey(), each.getValue(), clockMillis),
+                            1))
                     .toList();
             return new WorkerAnswer.Report(incarnation, clockMillis, reports, List.copyOf(ended));
         }
         return new WorkerAnswer.Done(clockMillis);
     }
 
+    private double percent(TaskRef task, int run, long clockMillis) {
+        if (durations == null) {
+            return clockMillis / 1_000.0;
+        }
+        long reportedMillis = (clockMillis - startMillis.get(task)) / REPORT_MILLIS * REPORT_MILLIS;
+        return 100.0 * reportedMillis / durations.applyAsLong(task, run);
+    }
+
     private void extendLease(long endMillis, long clockMillis) {
         leaseEndMillis = Math.max(leaseEndMillis, Math.min(endMillis, clockMillis + MAX_LEASE_MILLIS));
     }
@@ -354,6 +392,7 @@
         }
         highestRuns.put(start.task(), start.run());
         running.put(start.task(), start.run());
+        startMillis.put(start.task(), clockMillis);
         started.add(start.task() + "/" + start.run());
         if (deadlyTasks.test(start.task())) {
             if (crashesAtOnce) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -34,6 +34,31 @@
         return step(image, 1, milliCores, 0, false, targetMillis);
     }
 
+    /** Creates a step of one short task that permits copies. */
+    static StepSpec speculativeStep() {
+        return copyStep(true, false, false);
+    }
+
+    static StepSpec copyStep(boolean speculative, boolean longRunning, boolean bestEffort) {
+        return new StepSpec(
+                1,
+                new Resources(1_000, 10, 0),
+                1_000,
+                List.of(),
+                true,
+                false,
+                false,
+                null,
+                null,
+                0,
+                speculative,
+                longRunning,
+                "i",
+                0,
+                bestEffort,
+                0);
+    }
+
     private static StepSpec step(
             String image, int count, long milliCores, long estimateMillis, boolean bestEffort, double targetMillis) {
         return new StepSpec(
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskRecordTest.java
@@ -45,4 +45,46 @@
         assertThat(decoded.address()).isNull();
         assertThat(decoded.incarnation()).isZero();
     }
+
+    private static Run restore(Task restored, TaskRecord record, WorkerState worker) {
+        restored.restoreLastRunNumber(record.run());
+        Run run = restored.restoreRun(worker, record.run(), OwnerFixtures.NOW);
+        worker.add(run);
+        return run;
+    }
+
+    /** A successor that knew one run only would start the task anew when that one ends. */
+    @Test
+    void recordOfATaskWithACopyNamesBothRuns() {
+        Task copied = OwnerFixtures.task(OwnerFixtures.job("j", OwnerFixtures.speculativeStep(), OwnerFixtures.NOW));
+        OwnerFixtures.run(copied, OwnerFixtures.worker("w1", 16_000), 1);
+        copied.place(OwnerFixtures.worker("w2", 16_000), OwnerFixtures.NOW);
+        TaskRecord decoded = decode(JsonCodec.compact().encode(TaskRecord.of(copied)));
+        assertThat(decoded).isEqualTo(TaskRecord.of(copied));
+        assertThat(decoded.run()).isEqualTo(2);
+        assertThat(decoded.worker().value()).isEqualTo("w2");
+        assertThat(decoded.earlier().run()).isEqualTo(1);
+        assertThat(decoded.earlier().worker().value()).isEqualTo("w1");
+    }
+
+    /** The number of the first run must not become that of the copy, or its worker's report would not match. */
+    @Test
+    void recordOfATaskWhoseCopyHasEndedNamesTheFirstRunByItsNumber() {
+        Task copied = OwnerFixtures.task(OwnerFixtures.job("j", OwnerFixtures.speculativeStep(), OwnerFixtures.NOW));
+        OwnerFixtures.run(copied, OwnerFixtures.worker("w1", 16_000), 1);
+        copied.place(OwnerFixtures.worker("w2", 16_000), OwnerFixtures.NOW).release(OwnerFixtures.NOW);
+        TaskRecord record = TaskRecord.of(copied);
+        assertThat(record.run()).isEqualTo(2);
+        assertThat(record.worker()).isNull();
+        assertThat(record.earlier().run()).isEqualTo(1);
+    }
+
+    @Test
+    void restoredRunsAreInTheOrderOfTheirNumbers() {
+        Run later = restore(task, decode("{\"run\":2,\"worker\":\"w\"}"), OwnerFixtures.worker("w2", 16_000));
+        Run earlier = restore(task, decode("{\"run\":1,\"worker\":\"w\"}"), OwnerFixtures.worker("w1", 16_000));
+        assertThat(task.run()).isEqualTo(earlier);
+        assertThat(task.copy()).isEqualTo(later);
+        assertThat(task.lastRunNumber()).isEqualTo(2);
+    }
 }
