--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -60,6 +60,12 @@
     private final Histogram rackWait = registerHistogram(
             "flamingopitch_rack_wait_seconds", "Time that a task was left waiting for its rack.", "outcome");
 
+    private final Counter copies = Counter.builder()
+            .name("flamingopitch_copies_total")
+            .help("Copies of tasks by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+
     private final Gauge owner = Gauge.builder()
             .name("flamingopitch_cell_owner")
             .help("1 while this host owns the cell, otherwise 0.")
@@ -137,6 +143,10 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
+    void recordCopyOutcome(String outcome) {
+        copies.labelValues(outcome).inc();
+    }
+
     void recordRackWait(String outcome, Duration waited) {
         rackWait.labelValues(outcome).observe(seconds(waited));
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -127,6 +127,7 @@
                 }
                 if (scores[i] <= bestScore
                         || reservedFor != null && reservedFor != task
+                        || task.hasRunOn(worker)
                         || !candidates.get(i).admits(task)) {
                     continue;
                 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -15,6 +15,7 @@
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * Manages the runs of all tasks of the cell: has waiting tasks placed, moves runs off draining workers and stalled
@@ -63,6 +64,8 @@
 
     private final CompletionRate bestEffortCompletionRate;
 
+    private final CopyPlanner copyPlanner;
+
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
 
     private final WaitingTaskLogger waitingTaskLogger;
@@ -97,6 +100,7 @@
                 new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
         this.rackWaits =
                 new RackWaitPlanner(timings.farFactor(), estimates, new PlacementWait(), context::recordRackWait);
+        this.copyPlanner = new CopyPlanner(context, jobs, estimates);
         this.placer = new TaskPlacer(
                 context,
                 jobs,
@@ -106,7 +110,8 @@
                 order,
                 crashAttribution,
                 bestEffortPreemption,
-                rackWaits);
+                rackWaits,
+                copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.throttleController = new ThrottleController(orderSender, interference);
     }
@@ -127,6 +132,7 @@
                 health,
                 placementPolicy,
                 interference);
+        copyPlanner.enable(newWorkerRegistry);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
 
@@ -204,21 +210,22 @@
         commitLog.write(job, true, null);
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                step.tasks().forEach(this::stopIfRunning);
+                step.tasks().forEach(this::stopRuns);
             }
         }
         placer.requestPass();
     }
 
-    private void stopIfRunning(Task task) {
-        Run run = task.run();
-        if (run == null) {
-            return;
+    private void stopRuns(Task task) {
+        if (task.copy() != null && !task.done()) {
+            copyPlanner.recordOutcome(CopyOutcome.CANCELLED);
         }
-        if (run.phase() == RunPhase.PLANNED) {
-            run.release(context.now());
-        } else {
-            orderSender.stop(run);
+        for (Run run : task.runs()) {
+            if (run.phase() == RunPhase.PLANNED) {
+                run.release(context.now());
+            } else {
+                orderSender.stop(run);
+            }
         }
     }
 
@@ -233,6 +240,9 @@
             return;
         }
         lastTickAt = now;
+        if (copyPlanner.planIfDue(now)) {
+            placer.requestPass();
+        }
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         runMover.startTick(now);
@@ -326,7 +336,11 @@
 
     private void reschedule(Run run, Duration delay) {
         Task task = run.task();
+        Run copy = task.copy();
         run.release(context.now());
+        if (copy != null && task.job().open() && !task.done()) {
+            copyPlanner.recordEnd(task, run, copy);
+        }
         if (!delay.isZero()) {
             task.delayUntil(context.now().plus(delay));
             context.schedule(delay, placer::requestPass);
@@ -343,21 +357,24 @@
         }
         LOGGER.atInfo().log(
                 "event=end task=%s run=%d worker=%s kind=%s", end.task(), end.run(), worker.id(), end.kind());
-        Run run = task.run();
-        boolean currentRun = run != null && run.number() == end.run() && run.worker() == worker;
-        if (currentRun) {
+        Run run = task.run(end.run(), worker);
+        Run copy = task.copy();
+        if (run != null) {
             run.release(context.now());
         }
         if (task.done() || !task.job().open()) {
             return commitLog.write(task.job(), false, null);
         }
-        handleEnd(task, worker, end, currentRun ? run : null);
+        handleEnd(task, worker, end, run);
+        if (copy != null && (run != null || task.done())) {
+            copyPlanner.recordEnd(task, run, copy);
+        }
         placer.requestPass();
         return commitLog.write(task.job(), !task.job().open(), null);
     }
 
     private void handleEnd(Task task, WorkerState worker, RunEnd end, Run run) {
-        task.updateCheckpoint(end.checkpoint());
+        task.updateCheckpoint(run, end.checkpoint());
         if (end.kind().success()) {
             handleSuccess(task, worker, run);
             return;
@@ -388,10 +405,8 @@
         if (task.step().spec().lasting()) {
             return;
         }
-        if (task.run() != null) {
-            stopIfRunning(task);
-        }
         task.markDone();
+        stopRuns(task);
         task.step().incrementDoneCount();
         if (run != null) {
             recordBestEffortWork(task);
@@ -400,8 +415,7 @@
             double slowdown = estimates.recordRun(
                     task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
             if (run.beginKnown()) {
-                estimates.recordDuration(
-                        task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
+                copyPlanner.recordCompleted(run, durationMillis);
             }
             health.recordSuccess(worker.id(), slowdown, run.placedAt());
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -5,6 +5,7 @@
 import org.flamingopitch.coordination.api.LoopContext;
 import org.flamingopitch.scheduler.cell.disruption.MoveListener;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -59,4 +60,11 @@
      * @param waited how long it was
      */
     default void recordRackWait(RackWaitOutcome outcome, Duration waited) {}
+
+    /**
+     * Counts what became of a copy of a task; without effect where there are no metrics.
+     *
+     * @param outcome the outcome
+     */
+    default void recordCopyOutcome(CopyOutcome outcome) {}
 }
