Check the disruption budget before a long-running task is stopped

Cause: a step states how many of its long-running tasks the scheduler may take down at the same time (maxUnavailable). Moves off draining workers stopped all at once, and moves off evacuated data centres counted the step's tasks, but not those on silent workers.

Change: DisruptionBudget permits a stop while fewer than maxUnavailable tasks of the step are down for any cause, and not before all recorded runs have been reported after a takeover. It is asked for moves off draining workers, for evacuations, and before a long-running best-effort task is displaced.

Conclusion: a worker whose lease is withheld because a stop stays unanswered for 4 s loses its other tasks without regard to the budget, as before.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -74,6 +74,11 @@
             .labelNames("reason")
             .register(registry);
 
+    private final Counter deferredMoves = Counter.builder()
+            .name("flamingopitch_moves_deferred_total")
+            .help("Moves of long-running tasks that had to wait for other tasks of the step or for a worker.")
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -117,6 +122,11 @@
         moves.labelValues(reason.label()).inc();
     }
 
+    @Override
+    public void onDeferred() {
+        deferredMoves.inc();
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount, int evacuatedDataCentreCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/disruption/MoveListener.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/disruption/MoveListener.java
@@ -9,4 +9,10 @@
      * @param reason why it is moved
      */
     void onMoved(MoveReason reason);
+
+    /**
+     * Called once for each run of a long-running task that is to be moved, but not yet: too many tasks of its step are
+     * down, or no worker can take it over.
+     */
+    void onDeferred();
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -48,6 +48,8 @@
 
     private boolean recorded;
 
+    private boolean moveDeferred;
+
     /**
      * Since when the outcome of the last start or stop order is known: the worker has the run, has agreed to stop it,
      * or will never start it. Null while the outcome is unknown.
@@ -174,6 +176,13 @@
         recorded = true;
     }
 
+    /** Records that the run is to be moved, but not yet; returns whether this is known for the first time. */
+    boolean deferMove() {
+        boolean first = !moveDeferred;
+        moveDeferred = true;
+        return first;
+    }
+
     Instant orderOutcomeKnownAt() {
         return orderOutcomeKnownAt;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -86,7 +86,7 @@
         this.placementPolicy = new PlacementPolicy(health, interference);
         this.placer = new TaskPlacer(context, jobs, placementPolicy, orderSender, health, order, crashAttribution);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
-        this.throttleController = new ThrottleController(orderSender, interference);
+        this.throttleController = new ThrottleController(orderSender, interference, this::mayStop);
     }
 
     /**
@@ -181,6 +181,10 @@
         placer.requestPass();
     }
 
+    private boolean mayStop(Run longRunning) {
+        return runMover != null && runMover.mayStop(longRunning);
+    }
+
     private void stopIfRunning(Task task) {
         Run run = task.run();
         if (run == null) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.disruption.DisruptionBudget;
 import org.flamingopitch.scheduler.cell.disruption.MoveListener;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.disruption.StepAvailability;
@@ -56,6 +57,8 @@
     /** The steps whose tasks were counted in this tick, without those whose counts have changed since. */
     private final Map<Step, StepAvailability> availabilities = new HashMap<>();
 
+    private final DisruptionBudget budget = new DisruptionBudget();
+
     private FailedPlacements failedSearches = new FailedPlacements();
 
     /** The steps of the failed searches, since a failure under a limit of tasks per worker is not among the placements. */
@@ -103,7 +106,7 @@
         }
         if (run.task().step().spec().lasting()) {
             if (run.worker().draining()) {
-                move(run, MoveReason.DRAINING);
+                moveOffDrainingWorker(run, now);
             } else if (workerRegistry.evacuated(run.worker())) {
                 moveOutOfDataCentre(run, now);
             }
@@ -112,17 +115,54 @@
         stopIfStalled(run, now);
     }
 
+    /** Moves a long-running task if the budget of its step permits it, or if its worker ends it soon anyway. */
+    private void moveOffDrainingWorker(Run run, Instant now) {
+        WorkerState worker = run.worker();
+        if (withinBudget(run) || budget.endsSoon(worker.remainingTime(now), worker.drainingFor(now))) {
+            move(run, MoveReason.DRAINING);
+        } else {
+            defer(run);
+        }
+    }
+
+    /** Returns whether the budget permits to stop a long-running run, at any time between two passes over all runs. */
+    boolean mayStop(Run run) {
+        availabilities.remove(run.task().step());
+        return withinBudget(run);
+    }
+
+    /**
+     * Returns whether the budget permits to stop a long-running run. It permits to stop one that is not at work, as that
+     * takes down no further task.
+     */
+    private boolean withinBudget(Run run) {
+        StepAvailability availability = availability(run.task().step());
+        return budget.permits(availability) || !atWork(run) && availability.unreported() == 0;
+    }
+
+    private boolean atWork(Run run) {
+        return run.task().atWork() && workerRegistry.answering(run.worker());
+    }
+
+    private void defer(Run run) {
+        if (run.deferMove()) {
+            moveListener.onDeferred();
+        }
+    }
+
     /** Moves a long-running task if no other task of its step is down and a worker can take it over. */
     private void moveOutOfDataCentre(Run run, Instant now) {
         Task task = run.task();
-        int othersUnavailable = availability(task.step()).unavailable() - (task.atWork() ? 0 : 1);
-        if (othersUnavailable > 0 || searchesLeft == 0 || searchFails(task.step())) {
+        int othersUnavailable = availability(task.step()).unavailable() - (atWork(run) ? 0 : 1);
+        if (othersUnavailable > 0 || !withinBudget(run) || searchesLeft == 0 || searchFails(task.step())) {
+            defer(run);
             return;
         }
         WorkerState target = findTarget(task, now);
         if (target == null) {
             failedSearches.add(task.step());
             stepsWithoutTarget.add(task.step());
+            defer(run);
             return;
         }
         target.reserveFor(task, now.plus(RESERVATION_DURATION));
@@ -151,7 +191,7 @@
     }
 
     private StepAvailability availability(Step step) {
-        return availabilities.computeIfAbsent(step, Step::availability);
+        return availabilities.computeIfAbsent(step, key -> key.availability(workerRegistry::answering));
     }
 
     /** Returns the best worker that has free capacity for a long-running task and where it meets its target, or null. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Predicate;
 import org.flamingopitch.scheduler.cell.disruption.StepAvailability;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
@@ -96,12 +97,17 @@
         headroomAloneAt = now;
     }
 
-    /** Counts the long-running tasks that are not at work. */
-    StepAvailability availability() {
+    /**
+     * Counts the long-running tasks that are not at work.
+     *
+     * @param answering whether a worker answers; without answers it is unknown whether its tasks are at work
+     */
+    StepAvailability availability(Predicate<WorkerState> answering) {
         int unavailable = 0;
         int unreported = 0;
         for (Task task : tasks) {
-            unavailable += task.atWork() ? 0 : 1;
+            boolean atWork = task.atWork() && answering.test(task.run().worker());
+            unavailable += atWork ? 0 : 1;
             unreported += task.awaitsFirstReport() ? 1 : 0;
         }
         return new StepAvailability(unavailable, unreported, spec.maxUnavailable());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
@@ -56,9 +57,13 @@
 
     private final InterferenceEstimator interference;
 
-    ThrottleController(WorkerOrderSender orderSender, InterferenceEstimator interference) {
+    /** Whether a long-running best-effort run may be stopped now. */
+    private final Predicate<Run> mayStop;
+
+    ThrottleController(WorkerOrderSender orderSender, InterferenceEstimator interference, Predicate<Run> mayStop) {
         this.orderSender = orderSender;
         this.interference = interference;
+        this.mayStop = mayStop;
     }
 
     /** Sets the speeds of the best-effort tasks on a worker from its newest measurements. */
@@ -182,7 +187,14 @@
         }
     }
 
+    /** Stops a run so that it is placed elsewhere, or pauses it while too many tasks of its step are down for a stop. */
     private void stopToMove(Run bestEffort) {
+        if (bestEffort.task().step().spec().lasting() && !mayStop.test(bestEffort)) {
+            if (bestEffort.throttledToPercent() != 0) {
+                orderSender.throttle(bestEffort, 0);
+            }
+            return;
+        }
         LOGGER.atInfo().log(
                 "event=displaced task=%s run=%d worker=%s",
                 bestEffort.task().ref(),
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -299,7 +299,7 @@
     private boolean register(WorkerEntry entry) {
         WorkerState worker = worker(entry.name());
         WorkerEntry previous = worker.entry();
-        worker.register(entry);
+        worker.register(entry, context.now());
         WorkerPoller poller = pollers.computeIfAbsent(
                 worker.id(),
                 id -> new WorkerPoller(context, worker, fencingToken, leaseDuration, listener, this::endFormerWorkers));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
@@ -36,6 +37,12 @@
 
     private WorkerEntry entry;
 
+    /** Since when the entry shows the worker as draining; null while it does not. */
+    private Instant drainingSince;
+
+    /** When the present {@link WorkerEntry#remainingMillis()} was first seen. */
+    private Instant remainingSeenAt;
+
     /** When the worker was first absent from the listing; null while it is listed. */
     private Instant missingSince;
 
@@ -141,7 +148,15 @@
         replaced = true;
     }
 
-    void register(WorkerEntry newEntry) {
+    void register(WorkerEntry newEntry, Instant now) {
+        if (!newEntry.draining()) {
+            drainingSince = null;
+        } else if (drainingSince == null) {
+            drainingSince = now;
+        }
+        if (entry == null || entry.remainingMillis() != newEntry.remainingMillis()) {
+            remainingSeenAt = now;
+        }
         entry = newEntry;
         missingSince = null;
     }
@@ -164,6 +179,18 @@
         return entry != null && entry.draining();
     }
 
+    /** Returns how long the worker is known to have been draining. */
+    Duration drainingFor(Instant now) {
+        return drainingSince == null ? Duration.ZERO : Duration.between(drainingSince, now);
+    }
+
+    /** Returns the time until the draining worker stops, negative if it is over, or empty if it is unknown. */
+    Optional<Duration> remainingTime(Instant now) {
+        return entry.remainingMillis() <= 0
+                ? Optional.empty()
+                : Optional.of(Duration.between(now, remainingSeenAt.plusMillis(entry.remainingMillis())));
+    }
+
     long incarnation() {
         return incarnation;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -16,7 +16,6 @@
 import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.coordination.loop.TimerQueue;
 import org.flamingopitch.scheduler.cell.disruption.MoveListener;
-import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.entry.CallerJobRequest;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
@@ -240,12 +239,12 @@
     }
 
     /**
-     * Returns the reasons for which the owners have moved long-running tasks.
+     * Returns the moves of long-running tasks by all owners.
      *
-     * @return a reason for each move, in their order
+     * @return the moves
      */
-    public List<MoveReason> moves() {
-        return moves.reasons();
+    RecordedMoves moves() {
+        return moves;
     }
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/EvacuationTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/EvacuationTest.java
@@ -380,7 +380,7 @@
             assertThat(session.running(JOB_ID)).hasSizeGreaterThanOrEqualTo(2);
         }
         assertThat(session.worker("w2").running()).hasSize(3);
-        assertThat(session.moves()).hasSize(3).containsOnly(MoveReason.EVACUATION);
+        assertThat(session.moves().reasons()).hasSize(3).containsOnly(MoveReason.EVACUATION);
     }
 
     /** A step with a task that has not come back would otherwise lose one after the other. */
@@ -407,7 +407,7 @@
         session.advance(Duration.ofSeconds(3));
         assertThat(session.worker("w1").running())
                 .anyMatch(task -> task.job().value().equals(JOB_ID));
-        assertThat(session.moves()).isEmpty();
+        assertThat(session.moves().reasons()).isEmpty();
         endTasks("w2", OTHER_JOB_ID);
         session.advance(Duration.ofSeconds(3));
         assertThat(session.worker("w2").running())
@@ -421,7 +421,7 @@
         session.worker("w1").setStopsLost(true);
         EvacuationRequests.evacuate(session, "a");
         session.advance(Duration.ofMillis(300));
-        assertThat(session.moves()).hasSize(1);
+        assertThat(session.moves().reasons()).hasSize(1);
         submit(OTHER_JOB_ID, CellSession.job(4, 1_000, false));
         session.advance(Duration.ofMillis(300));
         assertThat(session.worker("w2").running()).isEmpty();
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -58,6 +58,8 @@
 
     private String dataCentre = "dc";
 
+    private long remainingMillis;
+
     /** The progress that all runs report, or negative if it rises with the time. */
     private double reportedPercent = -1;
 
@@ -173,6 +175,17 @@
         draining = isDraining;
     }
 
+    /**
+     * Sets whether the registration of this worker shows it as draining, and how long it goes on.
+     *
+     * @param isDraining whether it is shown as draining
+     * @param remaining the time in milliseconds until it stops, which the registration shows unchanged
+     */
+    public void setDraining(boolean isDraining, long remaining) {
+        draining = isDraining;
+        remainingMillis = remaining;
+    }
+
     /**
      * Sets the data centre.
      *
@@ -292,7 +305,7 @@
                 new ServiceName("pool"),
                 dataCentre,
                 draining,
-                0,
+                remainingMillis,
                 0,
                 capacity,
                 Set.of("a", "r1"));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMoves.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMoves.java
@@ -10,10 +10,21 @@
 
     private final List<MoveReason> reasons = new ArrayList<>();
 
+    private int deferred;
+
+    int deferred() {
+        return deferred;
+    }
+
     List<MoveReason> reasons() {
         return reasons;
     }
 
+    @Override
+    public void onDeferred() {
+        deferred++;
+    }
+
     @Override
     public void onMoved(MoveReason reason) {
         reasons.add(reason);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CrashAttributionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CrashAttributionTest.java
@@ -119,17 +119,19 @@
     @Test
     void endOfADrainingWorkerIsNoCrash() {
         Run run = start(Duration.ZERO);
-        worker.register(new WorkerEntry(
-                new WorkerId("w"),
-                1,
-                "127.0.0.1:1",
-                new ServiceName("pool"),
-                "dc",
-                true,
-                0,
-                0,
-                new Resources(16_000, 100_000, 0),
-                Set.of()));
+        worker.register(
+                new WorkerEntry(
+                        new WorkerId("w"),
+                        1,
+                        "127.0.0.1:1",
+                        new ServiceName("pool"),
+                        "dc",
+                        true,
+                        0,
+                        0,
+                        new Resources(16_000, 100_000, 0),
+                        Set.of()),
+                NOW);
         assertThat(attribution.recordCrash(worker, List.of(run))).isEmpty();
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -62,17 +62,19 @@
 
     static WorkerState worker(String name, long milliCores) {
         WorkerState worker = new WorkerState(new WorkerId(name), NOW);
-        worker.register(new WorkerEntry(
-                worker.id(),
-                1,
-                "127.0.0.1:1",
-                new ServiceName("pool"),
-                "dc",
-                false,
-                0,
-                0,
-                new Resources(milliCores, 100_000, 0),
-                Set.of("a", "r1")));
+        worker.register(
+                new WorkerEntry(
+                        worker.id(),
+                        1,
+                        "127.0.0.1:1",
+                        new ServiceName("pool"),
+                        "dc",
+                        false,
+                        0,
+                        0,
+                        new Resources(milliCores, 100_000, 0),
+                        Set.of("a", "r1")),
+                NOW);
         worker.recordReport(1, 0, Duration.ofSeconds(6), NOW);
         return worker;
     }
