--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -12,12 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.LongSupplier;
-import org.flamingopitch.scheduler.cell.disruption.MoveListener;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
-import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /** Records the metrics of a {@link CellHost} and writes them in the Prometheus text format. */
-final class CellMetrics implements AdmissionMetrics, MoveListener {
+final class CellMetrics implements OwnerMetrics {
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -105,6 +106,11 @@
             .labelNames("reason")
             .register(registry);
 
+    private final Counter deferredMoves = Counter.builder()
+            .name("flamingopitch_moves_deferred_total")
+            .help("Moves of long-running tasks that had to wait for other tasks of the step or for a worker.")
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -143,12 +149,14 @@
         workerCallDuration.labelValues(operation).observe(seconds(time));
     }
 
-    void recordCopyOutcome(String outcome) {
-        copies.labelValues(outcome).inc();
+    @Override
+    public void recordCopyOutcome(CopyOutcome outcome) {
+        copies.labelValues(outcome.label()).inc();
     }
 
-    void recordRackWait(String outcome, Duration waited) {
-        rackWait.labelValues(outcome).observe(seconds(waited));
+    @Override
+    public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
+        rackWait.labelValues(outcome.label()).observe(seconds(waited));
     }
 
     @Override
@@ -168,10 +176,15 @@
     }
 
     @Override
-    public void onMoved(MoveReason reason) {
+    public void recordMove(MoveReason reason) {
         moves.labelValues(reason.label()).inc();
     }
 
+    @Override
+    public void recordDeferredMove() {
+        deferredMoves.inc();
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount, int evacuatedDataCentreCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -12,15 +12,12 @@
 import org.flamingopitch.platform.StoreClient;
 import org.flamingopitch.platform.WorkerClient;
 import org.flamingopitch.platform.WorkerDirectory;
-import org.flamingopitch.scheduler.cell.disruption.MoveListener;
-import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
-import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
-import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * Gives the cell node the time, timers, and calls to the store and the workers. The result of every call is passed to
@@ -118,25 +115,10 @@
     }
 
     @Override
-    public AdmissionMetrics admissionMetrics() {
+    public OwnerMetrics metrics() {
         return metrics;
     }
 
-    @Override
-    public MoveListener moveListener() {
-        return metrics;
-    }
-
-    @Override
-    public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
-        metrics.recordRackWait(outcome.label(), waited);
-    }
-
-    @Override
-    public void recordCopyOutcome(CopyOutcome outcome) {
-        metrics.recordCopyOutcome(outcome.label());
-    }
-
     /** Returns the metric label for a value of a sealed type; such a type has a fixed number of labels. */
     static String metricLabel(Object value) {
         return value.getClass().getSimpleName();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/BestEffortPreemption.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/BestEffortPreemption.java
@@ -11,7 +11,7 @@
 import org.flamingopitch.scheduler.cell.admission.PreemptionRule.Occupant;
 import org.flamingopitch.scheduler.cell.admission.PreemptionRule.Outlook;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
-import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.model.Resources;
 
 /**
@@ -44,7 +44,7 @@
 
     private final CellTimings timings;
 
-    private final AdmissionMetrics metrics;
+    private final OwnerMetrics metrics;
 
     private final List<Reservation> reservations = new ArrayList<>();
 
@@ -63,7 +63,7 @@
             PlacementPolicy placementPolicy,
             DurationEstimates estimates,
             CellTimings timings,
-            AdmissionMetrics metrics) {
+            OwnerMetrics metrics) {
         this.orderSender = orderSender;
         this.placementPolicy = placementPolicy;
         this.estimates = estimates;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -17,8 +17,8 @@
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.port.AdmissionMetrics;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
  * The cell from the election of this process as its owner until the end of that ownership: loads the records of former
@@ -361,7 +361,7 @@
 
     /** Counts a decision on a submission, and logs it if the job is rejected. */
     private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
-        AdmissionMetrics metrics = context.admissionMetrics();
+        OwnerMetrics metrics = context.metrics();
         metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
         if (decision.inputs().workAhead() > 0) {
             metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
@@ -382,7 +382,7 @@
             Duration retryDelay,
             String detail,
             Consumer<JobAnswer> answer) {
-        context.admissionMetrics().recordAdmission(submit.queue().priority(), outcome.label());
+        context.metrics().recordAdmission(submit.queue().priority(), outcome.label());
         LOGGER.atWarning().log(
                 "event=refused job=%s queue=%s reason=%s retry_ms=%d detail=\"%s\"",
                 submit.id(), submit.queue().name(), outcome.label(), retryDelay.toMillis(), detail);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CopyPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CopyPlanner.java
@@ -190,7 +190,7 @@
 
     /** Counts what became of a copy. */
     void recordOutcome(CopyOutcome outcome) {
-        context.recordCopyOutcome(outcome);
+        context.metrics().recordCopyOutcome(outcome);
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -97,9 +97,9 @@
         JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork, shares);
         this.placementPolicy = new PlacementPolicy(health, interference);
         BestEffortPreemption bestEffortPreemption =
-                new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.admissionMetrics());
-        this.rackWaits =
-                new RackWaitPlanner(timings.farFactor(), estimates, new PlacementWait(), context::recordRackWait);
+                new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.metrics());
+        this.rackWaits = new RackWaitPlanner(
+                timings.farFactor(), estimates, new PlacementWait(), context.metrics()::recordRackWait);
         this.copyPlanner = new CopyPlanner(context, jobs, estimates);
         this.placer = new TaskPlacer(
                 context,
@@ -113,7 +113,7 @@
                 rackWaits,
                 copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
-        this.throttleController = new ThrottleController(orderSender, interference);
+        this.throttleController = new ThrottleController(orderSender, interference, this::mayStop);
     }
 
     /**
@@ -125,13 +125,7 @@
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
         runMover = new RunMover(
-                context.moveListener(),
-                orderSender,
-                newWorkerRegistry,
-                estimates,
-                health,
-                placementPolicy,
-                interference);
+                context.metrics(), orderSender, newWorkerRegistry, estimates, health, placementPolicy, interference);
         copyPlanner.enable(newWorkerRegistry);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
@@ -216,6 +210,10 @@
         placer.requestPass();
     }
 
+    private boolean mayStop(Run longRunning) {
+        return runMover != null && runMover.mayStop(longRunning);
+    }
+
     private void stopRuns(Task task) {
         if (task.copy() != null && !task.done()) {
             copyPlanner.recordOutcome(CopyOutcome.CANCELLED);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -1,11 +1,7 @@
 package org.flamingopitch.scheduler.cell.port;
 
-import java.time.Duration;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
-import org.flamingopitch.scheduler.cell.disruption.MoveListener;
-import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
-import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -38,33 +34,11 @@
     void listWorkers(Consumer<WorkerListing> handler);
 
     /**
-     * Returns the receiver of what is measured of admissions.
+     * Returns the receiver of what is measured of the owner's decisions.
      *
      * @return the receiver; by default one that discards everything
      */
-    default AdmissionMetrics admissionMetrics() {
-        return AdmissionMetrics.NONE;
+    default OwnerMetrics metrics() {
+        return OwnerMetrics.NONE;
     }
-
-    /**
-     * Returns the listener that counts moves of long-running tasks.
-     *
-     * @return the listener
-     */
-    MoveListener moveListener();
-
-    /**
-     * Records in the metrics that the wait of a task for its rack has ended.
-     *
-     * @param outcome how it ended
-     * @param waited how long it was
-     */
-    default void recordRackWait(RackWaitOutcome outcome, Duration waited) {}
-
-    /**
-     * Counts what became of a copy of a task; without effect where there are no metrics.
-     *
-     * @param outcome the outcome
-     */
-    default void recordCopyOutcome(CopyOutcome outcome) {}
 }
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
@@ -0,0 +1,59 @@
+package org.flamingopitch.scheduler.cell.port;
+
+import java.time.Duration;
+import org.flamingopitch.scheduler.cell.disruption.MoveReason;
+import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
+import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
+
+/** Receives what is measured of the decisions of a cell's owner. Every method does nothing unless it is overridden. */
+public interface OwnerMetrics {
+
+    /** Discards all measurements. */
+    OwnerMetrics NONE = new OwnerMetrics() {};
+
+    /**
+     * Counts a submission.
+     *
+     * @param priority the priority of its queue
+     * @param outcome the outcome
+     */
+    default void recordAdmission(int priority, String outcome) {}
+
+    /**
+     * Records the expected wait of a job whose admission depended on the load.
+     *
+     * @param expectedWait the time until the work ahead of the job and its own are done
+     */
+    default void recordAdmissionWait(Duration expectedWait) {}
+
+    /** Counts a run of a best-effort task that is stopped for a task of a higher priority. */
+    default void recordPreemption() {}
+
+    /**
+     * Counts a long-running task that is stopped in order to run on another worker.
+     *
+     * @param reason why it is moved
+     */
+    default void recordMove(MoveReason reason) {}
+
+    /**
+     * Counts, once for each run of a long-running task, that its move has to wait: too many tasks of its step are down,
+     * or no worker can take it over.
+     */
+    default void recordDeferredMove() {}
+
+    /**
+     * Records that the wait of a task for its rack has ended.
+     *
+     * @param outcome how it ended
+     * @param waited how long it was
+     */
+    default void recordRackWait(RackWaitOutcome outcome, Duration waited) {}
+
+    /**
+     * Counts what became of a copy of a task.
+     *
+     * @param outcome the outcome
+     */
+    default void recordCopyOutcome(CopyOutcome outcome) {}
+}
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -15,15 +15,12 @@
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.coordination.loop.TimerQueue;
-import org.flamingopitch.scheduler.cell.disruption.MoveListener;
-import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.entry.CallerJobRequest;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
 import org.flamingopitch.scheduler.cell.entry.CellNode;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
-import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
@@ -31,6 +28,7 @@
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
@@ -67,7 +65,7 @@
 
     private final SplittableRandom random;
 
-    private final RecordedMoves moves = new RecordedMoves();
+    private final RecordedMetrics metrics = new RecordedMetrics();
 
     private Instant now = START_TIME;
 
@@ -81,8 +79,6 @@
 
     private double farFactor = 1;
 
-    private final List<RackWaitOutcome> rackWaitOutcomes = new ArrayList<>();
-
     /** Creates a session in which every call takes the same time. */
     public CellSession() {
         this(0);
@@ -250,12 +246,12 @@
     }
 
     /**
-     * Returns the reasons for which the owners have moved long-running tasks.
+     * Returns the moves of long-running tasks by all owners.
      *
-     * @return a reason for each move, in their order
+     * @return the moves
      */
-    public List<MoveReason> moves() {
-        return moves.reasons();
+    RecordedMetrics metrics() {
+        return metrics;
     }
 
     /**
@@ -355,11 +351,6 @@
                 .toList();
     }
 
-    /** Returns how the waits of tasks for their racks ended, in order. */
-    List<RackWaitOutcome> rackWaitOutcomes() {
-        return rackWaitOutcomes;
-    }
-
     private long clockMillis() {
         return Duration.between(START_TIME, now).toMillis();
     }
@@ -440,11 +431,6 @@
             answer(latency, () -> handler.accept(FakeStore.failure("connection reset")));
         }
 
-        @Override
-        public void recordRackWait(RackWaitOutcome outcome, Duration waited) {
-            rackWaitOutcomes.add(outcome);
-        }
-
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
@@ -463,8 +449,8 @@
         }
 
         @Override
-        public MoveListener moveListener() {
-            return moves;
+        public OwnerMetrics metrics() {
+            return metrics;
         }
 
         @Override
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RackWaitTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RackWaitTest.java
@@ -79,7 +79,7 @@
         near.end(near.running().iterator().next(), EndKind.DONE);
         session.advance(Duration.ofMillis(450));
         assertThat(runsOn(near, SECOND)).isEqualTo(1);
-        assertThat(session.rackWaitOutcomes()).containsExactly(RackWaitOutcome.NEAR);
+        assertThat(session.metrics().rackWaitOutcomes()).containsExactly(RackWaitOutcome.NEAR);
     }
 
     @Test
@@ -87,7 +87,7 @@
         fillRackAndLetATaskWait();
         session.advance(MAX_WAIT);
         assertThat(runsOn(far, SECOND)).isEqualTo(1);
-        assertThat(session.rackWaitOutcomes()).containsExactly(RackWaitOutcome.FAR);
+        assertThat(session.metrics().rackWaitOutcomes()).containsExactly(RackWaitOutcome.FAR);
     }
 
     @Test
@@ -114,7 +114,7 @@
         near.setDraining(true);
         session.advance(Duration.ofMillis(950));
         assertThat(runsOn(far, SECOND)).isEqualTo(1);
-        assertThat(session.rackWaitOutcomes()).containsExactly(RackWaitOutcome.LOST);
+        assertThat(session.metrics().rackWaitOutcomes()).containsExactly(RackWaitOutcome.LOST);
     }
 
     @Test
@@ -123,7 +123,7 @@
         near.crash();
         session.advance(MAX_WAIT);
         assertThat(runsOn(far, SECOND)).isEqualTo(1);
-        assertThat(session.rackWaitOutcomes()).containsExactly(RackWaitOutcome.LOST);
+        assertThat(session.metrics().rackWaitOutcomes()).containsExactly(RackWaitOutcome.LOST);
     }
 
     @Test
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
@@ -120,17 +120,19 @@
     private static WorkerState worker(String name) {
         WorkerState worker = new WorkerState(new WorkerId(name), OwnerFixtures.NOW);
         WorkerEntry entry = OwnerFixtures.worker(name, 32_000).entry();
-        worker.register(new WorkerEntry(
-                worker.id(),
-                1,
-                entry.address(),
-                entry.service(),
-                entry.dataCentre(),
-                false,
-                0,
-                0,
-                new Resources(32_000, 125_000, 0),
-                entry.labels()));
+        worker.register(
+                new WorkerEntry(
+                        worker.id(),
+                        1,
+                        entry.address(),
+                        entry.service(),
+                        entry.dataCentre(),
+                        false,
+                        0,
+                        0,
+                        new Resources(32_000, 125_000, 0),
+                        entry.labels()),
+                OwnerFixtures.NOW);
         return worker;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -112,17 +112,19 @@
 
     static WorkerState worker(String name, long milliCores, String rack) {
         WorkerState worker = new WorkerState(new WorkerId(name), NOW);
-        worker.register(new WorkerEntry(
-                worker.id(),
-                1,
-                "127.0.0.1:1",
-                new ServiceName("pool"),
-                "dc",
-                false,
-                0,
-                0,
-                new Resources(milliCores, 100_000, 0),
-                Set.of("a", rack)));
+        worker.register(
+                new WorkerEntry(
+                        worker.id(),
+                        1,
+                        "127.0.0.1:1",
+                        new ServiceName("pool"),
+                        "dc",
+                        false,
+                        0,
+                        0,
+                        new Resources(milliCores, 100_000, 0),
+                        Set.of("a", rack)),
+                NOW);
         worker.recordReport(1, 0, Duration.ofSeconds(6), NOW);
         return worker;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -12,7 +12,6 @@
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
-import org.flamingopitch.scheduler.cell.disruption.MoveListener;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
 import org.flamingopitch.scheduler.cell.port.CellContext;
@@ -147,11 +146,6 @@
             handlers.add(handler);
         }
 
-        @Override
-        public MoveListener moveListener() {
-            return reason -> {};
-        }
-
         @Override
         public void listWorkers(Consumer<WorkerListing> handler) {
             throw new AssertionError("no list of workers is expected");
