Start without learned statistics that cannot be read

Cause: an owner that cannot decode the stored statistics fails while it loads the records, and so does each successor. The statistics have a new field, and hosts of two versions run side by side during an upgrade.

Change: such a record is logged as event=record_unreadable and the owner starts without statistics, as when there are none.

Result: UnreadableStatisticsTest failed before with "cannot decode LearnedRecord: Unrecognized field" and passes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -94,11 +94,23 @@
         read(new KeyValueRequest.Get(CellKeys.LEARNED), this::readLearned, result -> {
             learnedStatistics = LearnedRecord.EMPTY;
             if (result instanceof KeyValueResult.Found found) {
-                learnedStatistics = JsonCodec.compact().decode(found.entry().value(), LearnedRecord.class);
+                learnedStatistics = decodeLearned(found.entry());
             }
         });
     }
 
+    /** Returns the statistics; none if another version has stored them in a form that this one cannot read. */
+    private static LearnedRecord decodeLearned(KeyValueEntry entry) {
+        try {
+            return JsonCodec.compact().decode(entry.value(), LearnedRecord.class);
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=record_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+            return LearnedRecord.EMPTY;
+        }
+    }
+
     private static List<KeyValueEntry> entries(KeyValueResult result) {
         return ((KeyValueResult.Listed) result).entries();
     }
