Weigh each run by its estimate in the average ratio of a queue

The mean of actual / estimate is far above the ratio of the sums where estimates err by 90 % either way.

Change: a run counts by its estimate.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/DurationEstimates.java
@@ -26,8 +26,14 @@
 
     private static final double MEDIAN = 0.5;
 
+    /**
+     * By queue, the sum of the durations divided by the sum of the estimates. Each run counts by its estimate: the plain
+     * mean of the ratios is far too high where single estimates are far too low.
+     */
     private final Map<QueueName, Double> ratios = new HashMap<>();
 
+    private final Map<QueueName, Double> averageEstimates = new HashMap<>();
+
     /** By queue, the least recently used first. */
     private final Map<QueueName, DurationDistribution> distributions = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -47,7 +53,10 @@
         }
         double ratio = (double) actualMillis / estimateMillis;
         double averageRatio = ratios.getOrDefault(queue, ratio);
-        ratios.put(queue, averageRatio * (1 - NEW_RUN_WEIGHT) + ratio * NEW_RUN_WEIGHT);
+        double averageEstimate = averageEstimates.getOrDefault(queue, (double) estimateMillis);
+        double weight = Math.min(1, NEW_RUN_WEIGHT * estimateMillis / averageEstimate);
+        ratios.put(queue, averageRatio + weight * (ratio - averageRatio));
+        averageEstimates.put(queue, averageEstimate + NEW_RUN_WEIGHT * (estimateMillis - averageEstimate));
         return averageRatio <= 0 ? 1 : ratio / averageRatio;
     }
 
