Compare a job's expected duration with an objective from the same estimate

Cause: callers of the urgent queue were rejected on a service with free capacity. The expected duration was corrected by the learned ratio, the allowed time was not, so that a queue which underestimates its tasks was rejected without any wait. The objective of the platform counts the actual work.

Change: the allowed time of tasks that run at full speed uses the corrected duration too. For best-effort tasks it stays, since they take longer because others use the processors.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/AdmissionControl.java
@@ -48,15 +48,14 @@
         if (spec.timed()) {
             return AdmissionPolicy.admit();
         }
+        long expectedPathMillis = estimates.expectedMillis(queue.name(), spec.criticalPathMillis());
+        // The objective counts work at full speed: best-effort tasks take longer than that, other tasks do not.
+        long fullSpeedPathMillis = QueueCapacity.isBestEffort(spec) ? spec.criticalPathMillis() : expectedPathMillis;
         long allowedMillis = (long) (boost
                 * AdmissionPolicy.MAX_DURATION_FACTOR
-                * (queue.stretch() * spec.criticalPathMillis() + queue.targetMillis()));
+                * (queue.stretch() * fullSpeedPathMillis + queue.targetMillis()));
         AdmissionInputs inputs = new AdmissionInputs(
-                workAhead(spec, queue, jobs, estimates, now),
-                capacity,
-                estimates.expectedMillis(queue.name(), spec.criticalPathMillis()),
-                allowedMillis,
-                share);
+                workAhead(spec, queue, jobs, estimates, now), capacity, expectedPathMillis, allowedMillis, share);
         return AdmissionPolicy.decide(inputs, id.value());
     }
 
