Do not lift the disruption budget after a missed poll

A task on a worker whose last poll was lost counted as down, and one that is down may be stopped beyond the budget. Change: only a worker that answers can show that its task is down. Result: missedPollOfADrainingWorkerDoesNotLiftTheBudget failed before, and passes. Conclusion: for counting, a silent worker's tasks still count as down.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -132,12 +132,14 @@
     }
 
     /**
-     * Returns whether the budget permits to stop a long-running run. It permits to stop one that is not at work, as that
-     * takes down no further task.
+     * Returns whether the budget permits to stop a long-running run. It permits to stop one that is known not to be at
+     * work, as that takes down no further task; a missed poll says nothing about the task.
      */
     private boolean withinBudget(Run run) {
         StepAvailability availability = availability(run.task().step());
-        return budget.permits(availability) || !atWork(run) && availability.unreported() == 0;
+        boolean knownDown =
+                workerRegistry.answering(run.worker()) && !run.task().atWork() && availability.unreported() == 0;
+        return knownDown || budget.permits(availability);
     }
 
     private boolean atWork(Run run) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DisruptionBudgetSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DisruptionBudgetSessionTest.java
@@ -86,6 +86,20 @@
         assertThat(session.worker("w1").running()).hasSize(3);
     }
 
+    /** A lost answer says nothing about the tasks of the worker, so it must not permit to stop them. */
+    @Test
+    void missedPollOfADrainingWorkerDoesNotLiftTheBudget() {
+        submit(5, 1);
+        session.worker(workerOfTheFifthTask()).setUnresponsive(true);
+        session.advance(Duration.ofMillis(2_000));
+        session.worker("w1").setUnresponsive(true);
+        session.worker("w1").setDraining(true, LONG_DRAIN_MILLIS);
+        session.advance(Duration.ofMillis(1_500));
+        session.worker("w1").setUnresponsive(false);
+        session.advance(Duration.ofMillis(1_000));
+        assertThat(session.worker("w1").running()).hasSize(4);
+    }
+
     /** The platform would count the tasks of both workers as down. */
     @Test
     void taskOnASilentWorkerCountsAsDown() {
