Start no copies of tasks of a group

A copy on another rack slows all tasks of a group. Change: a step with sameRack permits no copies. Result: taskOfAGroupGetsNoSecondRun failed before, and passes. Conclusion: copies inside the group's rack are not offered either.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Step.java
@@ -148,9 +148,12 @@
         return true;
     }
 
-    /** Returns whether a copy of a task may run beside it; best-effort tasks are slow because others are served. */
+    /**
+     * Returns whether a copy of a task may run beside it. Best-effort tasks are slow because others are served, and a
+     * copy on another rack would slow a whole group.
+     */
     boolean permitsCopies() {
-        return spec.speculative() && !spec.lasting() && !spec.fills();
+        return spec.speculative() && !spec.lasting() && !spec.fills() && !spec.sameRack();
     }
 
     /** Adds the duration of the run that completed a task. */
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskCopyTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskCopyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.List;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.model.WorkerId;
 import org.junit.jupiter.api.Test;
@@ -37,6 +38,30 @@
         assertNoSecondRun(running(OwnerFixtures.copyStep(true, false, true)), otherWorker);
     }
 
+    /** A copy on another rack would slow all tasks of the group. */
+    @Test
+    void taskOfAGroupGetsNoSecondRun() {
+        StepSpec plain = OwnerFixtures.speculativeStep();
+        StepSpec group = new StepSpec(
+                1,
+                plain.demand(),
+                plain.estimateMillis(),
+                List.of(),
+                true,
+                false,
+                true,
+                null,
+                null,
+                0,
+                true,
+                false,
+                "i",
+                0,
+                false,
+                0);
+        assertNoSecondRun(running(group), otherWorker);
+    }
+
     @Test
     void copyDoesNotShareTheWorkerOfTheFirstRun() {
         assertNoSecondRun(running(OwnerFixtures.speculativeStep()), worker);
