Let only deployments with evacuations depend on the watch of op/

Cause: found by a reviewer. An owner stopped placing when the watch of the operators' requests was 4 s old, also where the settings name no evacuateMs. Change: the age counts only if evacuateMs is set. Conclusion: earlier deployments are served as before.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -276,9 +276,9 @@
      * a request that was made during the outage is read.
      */
     private boolean mayPlace() {
-        return evacuations.known()
-                && context.now().isBefore(evacuationsConfirmedAt.plus(MAX_UNCONFIRMED_TIME))
-                && mayAct();
+        boolean evacuationsConfirmed = timings.evacuationLimit().isZero()
+                || context.now().isBefore(evacuationsConfirmedAt.plus(MAX_UNCONFIRMED_TIME));
+        return evacuations.known() && evacuationsConfirmed && mayAct();
     }
 
     private void restore(
