Let a task wait for its rack by the run of a sibling that ends first

A wait counted on the end of a straggler whose copy ends earlier, and a worker reserved by preemption was not used. Change: the earliest run of each sibling counts, without runs that are being stopped; a task with a reservation does not wait. Conclusion: a wait beside siblings may still exceed (farFactor - 1) x duration.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
@@ -275,6 +275,14 @@
         return releases;
     }
 
+    /** Returns the remaining time of a task, by the run of it that ends first; empty if it has no run. */
+    private Optional<Duration> remainingTime(Task task) {
+        return task.runs().stream()
+                .filter(run -> run.phase() != RunPhase.STOPPING)
+                .map(this::remainingTime)
+                .min(Duration::compareTo);
+    }
+
     private Duration remainingTime(Run run) {
         return RemainingTime.estimate(
                 Duration.between(run.placedAt(), now),
@@ -365,7 +373,7 @@
 
         /** A task that may crash its worker, or that already waited for the rack before an earlier run, does not wait. */
         private boolean mayWait(Task task) {
-            return !task.suspect() && !task.rackWaitEnded();
+            return !task.suspect() && !task.rackWaitEnded() && !task.hasReservation(now);
         }
 
         private PlacementDecision decide() {
@@ -388,8 +396,8 @@
                     .max(Duration::compareTo)
                     .orElse(Duration.ZERO);
             Duration siblingsEnd = step.tasks().stream()
-                    .filter(task -> task.run() != null)
-                    .map(task -> remainingTime(task.run()))
+                    .filter(task -> !task.done())
+                    .flatMap(task -> remainingTime(task).stream())
                     .max(Duration::compareTo)
                     .orElse(Duration.ZERO);
             Duration duration = expectedDuration(step);
