Stop unanswered starts of an owner that is not confirmed, and bound copies

Cause: found by a reviewer. An unanswered start was repeated, with a new lease, by an owner whose ownership or evacuations are not confirmed any more. Tasks that wait only for their rack kept all copies back, and copies that no worker fits requested a pass every 50 ms. Change: such starts are stopped; only tasks that found no capacity count; the next evaluation is postponed for 500 ms. Conclusion: a start follows a confirmed commit, so the window was below 1 s.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CopyPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CopyPlanner.java
@@ -28,6 +28,9 @@
     /** Short against the tasks, which take a second or less where a copy can save a job's objective. */
     private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(50);
 
+    /** Time until the next evaluation after no worker had capacity for a copy. */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+
     /** Bounds the time of a placement pass, since each copy rates all workers. */
     private static final int MAX_COPIES_PER_PASS = 16;
 
@@ -175,6 +178,11 @@
         return taken;
     }
 
+    /** Postpones the next evaluation, as no worker has capacity for a copy; each evaluation requests a placement pass. */
+    void postpone(Instant now) {
+        lastEvaluationAt = now.plus(RETRY_DELAY).minus(EVALUATION_INTERVAL);
+    }
+
     /** Logs the start of a copy. */
     static void logStart(Copy copy, Run run) {
         CopyProposal proposal = copy.proposal();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -77,6 +77,8 @@
 
     private WorkerRegistry workerRegistry;
 
+    private BooleanSupplier mayAct = () -> false;
+
     private RunMover runMover;
 
     private Instant lastTickAt = Instant.MIN;
@@ -124,6 +126,7 @@
     void startPlacing(CommitLog newCommitLog, WorkerRegistry newWorkerRegistry, BooleanSupplier mayActNow) {
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
+        mayAct = mayActNow;
         runMover = new RunMover(
                 context.metrics(), orderSender, newWorkerRegistry, estimates, health, placementPolicy, interference);
         copyPlanner.enable(newWorkerRegistry);
@@ -247,7 +250,7 @@
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
             boolean evacuated = workerRegistry.evacuated(worker);
             for (Run run : List.copyOf(worker.runs())) {
-                if (evacuated) {
+                if (evacuated || !mayAct.getAsBoolean()) {
                     orderSender.stopIfStartUnanswered(run);
                 }
                 orderSender.repeatOrderIfDue(run);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -179,7 +179,8 @@
                 }
                 placed |= placeStep(step, pass, failures, now);
                 if (step.waitingCount(now) > 0) {
-                    recordWaiting(step);
+                    tasksWaiting = true;
+                    recordLackOfCapacity(step, failures);
                 }
             }
         }
@@ -238,12 +239,17 @@
         bestEffortPreemption.makeRoom(step, workerRegistry.workers(), worker -> usable(worker, now), now);
     }
 
-    /** Long-running tasks are placed first, whatever the priority of their queue. */
-    private void recordWaiting(Step step) {
-        tasksWaiting = true;
-        waitingPriority = Math.min(
-                waitingPriority,
-                step.spec().lasting() ? Integer.MIN_VALUE : step.job().queue().priority());
+    /**
+     * Takes note of the priority of tasks that wait for capacity; those that wait only for their rack do not count.
+     * Long-running tasks are placed first, whatever the priority of their queue.
+     */
+    private void recordLackOfCapacity(Step step, FailedPlacements failures) {
+        if (failures.covers(step)) {
+            int priority = step.spec().lasting()
+                    ? Integer.MIN_VALUE
+                    : step.job().queue().priority();
+            waitingPriority = Math.min(waitingPriority, priority);
+        }
     }
 
     private Run place(Task task, PlacementCandidate candidate, Instant now) {
@@ -259,10 +265,12 @@
         for (CopyPlanner.Copy copy : copyPlanner.takePlanned(waitingPriority, now)) {
             PlacementPass.Search search = pass.search(copy.task().step());
             PlacementCandidate candidate = search.findBest(copy.task());
-            if (candidate != null) {
-                CopyPlanner.logStart(copy, place(copy.task(), candidate, now));
-                search.onPlaced(candidate);
+            if (candidate == null) {
+                copyPlanner.postpone(now);
+                continue;
             }
+            CopyPlanner.logStart(copy, place(copy.task(), candidate, now));
+            search.onPlaced(candidate);
         }
     }
 
@@ -273,7 +281,7 @@
             PlacementCandidate candidate = search.findBest(task);
             if (candidate == null) {
                 isolationPlanner.reserve(task, workerRegistry.workers(), worker -> usable(worker, now), now);
-                recordWaiting(task.step());
+                tasksWaiting = true;
             } else {
                 place(task, candidate, now);
                 search.onPlaced(candidate);
