--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/locality/PlacementWait.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/locality/PlacementWait.java
@@ -12,8 +12,7 @@
 
     /**
      * Share of the longest wait up to which an expected wait is relied on. Durations vary and tasks that come later may be
-     * placed first; a wait that fails costs its time and the far placement. With a share of 1, 1 % of the urgent jobs of
-     * {@code RackWaitLoadTest} at factor 1.5 were late that are in time without any wait.
+     * placed first; a wait that fails costs its time and the far placement.
      */
     private static final double RELIABLE_SHARE = 0.5;
 
