--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
@@ -109,7 +109,10 @@
         return sum;
     }
 
-    /** Returns the processor time of all workers of a queue's service that are neither draining nor in a data centre under evacuation, in millicores. */
+    /**
+     * Returns the processor time of all workers of a queue's service that are neither draining nor in a data centre under
+     * evacuation, in millicores.
+     */
     long totalMilliCores(QueueSpec queue) {
         long sum = 0;
         for (WorkerState worker : workerRegistry.workers()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
@@ -29,10 +29,9 @@
     private static final double LATE_VALUE_FACTOR = 0.15;
 
     /**
-     * Weight of a job of which a task has started, where a job that has not started has weight 1, or up to 2 if its class was
-     * served less than others. Without it, new jobs
-     * take the capacity that started jobs need to end in time, and most jobs end late: up to 4 s pass between the first
-     * and the last start of a step's tasks.
+     * Weight of a job of which a task has started, where a job that has not started has weight 1, or up to 2 if its class
+     * was served less than others. Without it, new jobs take the capacity that started jobs need to end in time, and most
+     * jobs end late: up to 4 s pass between the first and the last start of a step's tasks.
      */
     private static final double STARTED_JOB_WEIGHT = 3;
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -231,8 +231,8 @@
     }
 
     /**
-     * Places waiting tasks, repeats orders, moves runs off draining and evacuated workers and removes old jobs, as far as they are
-     * due.
+     * Places waiting tasks, repeats orders, moves runs off draining and evacuated workers and removes old jobs, as far
+     * as they are due.
      */
     void tick() {
         placer.placeIfDue();
