--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/RackWaitLoadTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/RackWaitLoadTest.java
@@ -27,8 +27,8 @@
 
 /**
  * What callers of an urgent queue get if 60 % of its jobs prefer one of 20 racks, and in bursts more of their tasks than
- * the rack holds. Compares the {@link PlacementWait} with never waiting and with a fixed wait of three seconds, and with the placement
- * before, in which tasks without a preference take the workers of the preferred rack.
+ * the rack holds. Compares the {@link PlacementWait} with never waiting, with a fixed wait of three seconds, and with a
+ * placement in which tasks without a preference take the workers of the preferred rack.
  */
 final class RackWaitLoadTest {
 
