Keep the decision packages from reaching into the owner's state

Cause: the packages are independent by habit only. Change: an architecture rule. Result: it passes; no class had to change. Conclusion: none.

--- a/daemon/src/test/java/org/flamingopitch/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/ArchitectureTest.java
@@ -28,6 +28,15 @@
             .dependOnClassesThat()
             .resideInAnyPackage("..daemon..", "..standins..", "..transport..");
 
+    @ArchTest
+    static final ArchRule DECISIONS_DO_NOT_REACH_INTO_THE_STATE_OF_THE_OWNER = noClasses()
+            .that()
+            .resideInAnyPackage(
+                    "..cell.admission..", "..cell.speculation..", "..cell.locality..", "..cell.disruption..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("..cell.owner..", "..cell.entry..", "..cell.port..");
+
     @ArchTest
     static final ArchRule STAND_INS_DO_NOT_DEPEND_ON_SCHEDULER_OR_DAEMON = noClasses()
             .that()
