Hand the cell over also while its records are loading

A host with 0.2 processors and a slow link, just restarted, won the election, could not list the records within the time of a call (event=load_unanswered, again and again), and declined every stronger host that asked for the cell, since it had not loaded it.

Change: an owner hands over whether it has loaded the records or not; it has done nothing that must be written before.

Conclusion: a weak host may still be elected; the cell then stays without service for the 2 to 3 s until a stronger one asks. Loading in smaller pages would end the stall for a host that is alone.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -152,9 +152,12 @@
         }
     }
 
-    /** Begins to hand the cell over and returns true, or returns false if this process does not own a loaded cell. */
+    /**
+     * Begins to hand the cell over and returns true, or returns false if this process does not own the cell. An owner
+     * that is still loading the records hands over too: a host with a slow link may never finish.
+     */
     private boolean beginHandover(JobRequest.RequestOwnership request) {
-        if (ownedCell == null || draining || handover != null || !ownedCell.loaded()) {
+        if (ownedCell == null || draining || handover != null) {
             return false;
         }
         handover = request;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -247,15 +247,6 @@
         return commitLog == null || commitLog.idle();
     }
 
-    /**
-     * Returns whether the records of former owners are loaded.
-     *
-     * @return whether this owner places tasks
-     */
-    public boolean loaded() {
-        return commitLog != null;
-    }
-
     /**
      * Counts the open jobs.
      *
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -406,7 +406,7 @@
         }
 
         private void executeStoreCall(KeyValueRequest request, Instant receivedAt, Consumer<KeyValueResult> handler) {
-            if (storeConnectionsReset || !partitions.reachesStore(self.address())) {
+            if (storeConnectionsReset || !partitions.reachesStore(self.address(), request)) {
                 answer(Duration.ZERO, () -> handler.accept(FakeStore.failure("connection reset")));
                 return;
             }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -2,14 +2,17 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import org.flamingopitch.coordination.api.Failure;
-import org.flamingopitch.coordination.kv.KeyValueResult;
+import org.flamingopitch.coordination.kv.KeyValueRequest;
 
 /** The hosts of a simulated cell whose calls to the store or to a worker get no answer and have no effect. */
 public final class Partitions {
 
+    private static final String RECORD_PREFIX = "flamingopitch/job/";
+
     private final Set<String> hostsWithoutStore = new HashSet<>();
 
+    private final Set<String> hostsWithoutRecords = new HashSet<>();
+
     private final Set<Link> lostLinks = new HashSet<>();
 
     /**
@@ -40,8 +43,19 @@
         lostLinks.add(new Link(host, worker));
     }
 
-    boolean reachesStore(String host) {
-        return !hostsWithoutStore.contains(host);
+    /**
+     * Lets the calls of a host that list the records of jobs get no answer, as those of a host with a slow link.
+     *
+     * @param host its name
+     */
+    public void loseRecordLists(String host) {
+        hostsWithoutRecords.add(host);
+    }
+
+    boolean reachesStore(String host, KeyValueRequest request) {
+        boolean listsRecords = request instanceof KeyValueRequest.ListPrefix list
+                && list.prefix().startsWith(RECORD_PREFIX);
+        return !hostsWithoutStore.contains(host) && !(listsRecords && hostsWithoutRecords.contains(host));
     }
 
     boolean reachesWorker(String host, String worker) {
@@ -49,9 +63,4 @@
     }
 
     private record Link(String host, String worker) {}
-
-    /** Returns the result of a call to the store whose connection was reset. */
-    static KeyValueResult connectionReset() {
-        return new KeyValueResult.Failed(new Failure("store", "fake", "connection reset"));
-    }
 }
