Give the reason of an error where it is caught

Cause: a look at the catches. A file that analyze cannot read or write was reported without the reason or with the file's name as the reason; a message that cannot be encoded and a service that does not start named no cause of their own.

Change: the type and message of the exception are part of the text; a service that does not start is logged before the others are stopped, so that a failure of these does not hide it.

Result: AnalyzeCommandTest now asks for the type.

Conclusion: CellHost passes errors to CellNode, which logs them with their stack trace; the stream in BoundedLogHandlerTest throws on purpose.

--- a/coordination/src/main/java/org/flamingopitch/coordination/supervisor/Supervisor.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/supervisor/Supervisor.java
@@ -112,6 +112,8 @@
             child.start();
             runningChildren.add(child);
         } catch (RuntimeException e) {
+            LOGGER.atSevere().log(
+                    "event=service_not_started supervisor=%s service=%s cause=\"%s\"", name, child.name(), e);
             stop();
             throw e;
         }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -197,7 +197,7 @@
         try {
             PrometheusTextFormatWriter.create().write(stream, registry.scrape());
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new UncheckedIOException("cannot write the metrics: " + e.getMessage(), e);
         }
         return stream.toString(StandardCharsets.UTF_8);
     }
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
@@ -74,7 +74,7 @@
             return writer.writeValueAsBytes(message);
         } catch (IOException e) {
             throw new IllegalArgumentException(
-                    "cannot encode " + message.getClass().getSimpleName(), e);
+                    "cannot encode " + message.getClass().getSimpleName() + ": " + e.getMessage(), e);
         }
     }
 
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/AnalyzeCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/AnalyzeCommand.java
@@ -97,8 +97,7 @@
                 analyzer.read(reader, nameWithoutExtension(file));
             }
         } catch (IOException e) {
-            throw new InvalidDocumentException(
-                    log, List.of("cannot be read: " + e.getClass().getSimpleName()));
+            throw new InvalidDocumentException(log, List.of("cannot be read: " + reason(e)));
         }
     }
 
@@ -113,11 +112,16 @@
             WindowChart.write(analyzer.windowCounts(), Path.of(file));
             return ExitCode.OK;
         } catch (IOException e) {
-            System.err.println("flamingopitch: " + file + ": the chart cannot be written: " + e.getMessage());
+            System.err.println("flamingopitch: " + file + ": the chart cannot be written: " + reason(e));
             return ExitCode.FAILED;
         }
     }
 
+    /** The messages of some exceptions consist of the file's name only, so the type is part of the reason. */
+    private static String reason(IOException error) {
+        return error.getClass().getSimpleName() + ": " + error.getMessage();
+    }
+
     private static List<List<Dimension>> groupings(CommandLine line) {
         if (!line.hasOption(BY)) {
             return Arrays.stream(Dimension.values()).map(List::of).toList();
--- a/daemon/src/test/java/org/flamingopitch/daemon/cli/AnalyzeCommandTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cli/AnalyzeCommandTest.java
@@ -86,7 +86,7 @@
     void missingOrUnreadableLogGivesInvalidDocument(@TempDir Path folder) throws IOException {
         CommandResult missing = run("analyze", "no-such.log");
         assertThat(missing.code).isEqualTo(ExitCode.INVALID_DOCUMENT);
-        assertThat(missing.errors).contains("no-such.log").contains("cannot be read");
+        assertThat(missing.errors).contains("no-such.log").contains("cannot be read: NoSuchFileException");
         Path text = Files.writeString(folder.resolve("text.log"), "no log line\n");
         assertThat(run("analyze", text.toString()).code).isEqualTo(ExitCode.INVALID_DOCUMENT);
     }
