Build the steps of tests with a builder

Cause: thirteen test classes called a constructor with sixteen arguments, most of them absent or zero; a reader had to count to see what a test is about.

Change: StepSpecBuilder names what is set. No assertion changed.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/BestEffortPreemptionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/BestEffortPreemptionTest.java
@@ -11,6 +11,7 @@
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -52,23 +53,12 @@
     }
 
     private static JobSpec job(int count, long milliCores, long memory, long estimateMillis, boolean bestEffort) {
-        StepSpec step = new StepSpec(
-                count,
-                new Resources(milliCores, memory, 0),
-                estimateMillis,
-                List.of(),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                bestEffort,
-                0);
+        StepSpec step = new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, memory, 0))
+                .estimateMillis(estimateMillis)
+                .fills(bestEffort)
+                .build();
         return new JobSpec("work", List.of(step), 0, 0, 0);
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -13,6 +13,7 @@
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -425,23 +426,12 @@
     @Test
     void gangJobIsRefusedAndNeverRuns() {
         StepSpec plain = CellSession.step(2, 1_000, false, List.of());
-        StepSpec gang = new StepSpec(
-                2,
-                plain.demand(),
-                1_000,
-                List.of(),
-                false,
-                true,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        StepSpec gang = new StepSpecBuilder()
+                .count(2)
+                .demand(plain.demand())
+                .estimateMillis(1_000)
+                .gang(true)
+                .build();
         List<CallerReply> replies = submit("h1", JOB_PATH, new JobSpec("work", List.of(gang), 0, 0, 0));
         session.advance(Duration.ofSeconds(1));
         assertThat(replies).hasSize(1).allMatch(reply -> reply instanceof CallerReply.Refused);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CompetingQueuesSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CompetingQueuesSessionTest.java
@@ -13,6 +13,7 @@
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -57,23 +58,14 @@
     }
 
     private static JobSpec bestEffortJob(int count, long milliCores) {
-        StepSpec step = new StepSpec(
-                count,
-                new Resources(milliCores, 100, 0),
-                30_000,
-                List.of(),
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                "batch",
-                0,
-                true,
-                0);
+        StepSpec step = new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, 100, 0))
+                .estimateMillis(30_000)
+                .checkpointing(true)
+                .image("batch")
+                .fills(true)
+                .build();
         return new JobSpec("work", List.of(step), 0, 0, 0);
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 
 /** Creates the specifications of steps for a simulated cell. */
@@ -47,22 +48,19 @@
             double targetMillis,
             boolean bestEffort,
             int maxUnavailable) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, MEMORY_MEGABYTES, 0),
-                ESTIMATE_MILLIS,
-                after,
-                true,
-                false,
-                sameRack,
-                null,
-                rack,
-                0,
-                false,
-                longRunning,
-                image,
-                targetMillis,
-                bestEffort,
-                maxUnavailable);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, MEMORY_MEGABYTES, 0))
+                .estimateMillis(ESTIMATE_MILLIS)
+                .after(after)
+                .checkpointing(true)
+                .sameRack(sameRack)
+                .preferredRack(rack)
+                .lasting(longRunning)
+                .image(image)
+                .targetMillis(targetMillis)
+                .fills(bestEffort)
+                .maxUnavailable(maxUnavailable)
+                .build();
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationTest.java
@@ -13,6 +13,7 @@
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
@@ -58,23 +59,13 @@
     }
 
     private static StepSpec step(int count, boolean speculative, boolean longRunning) {
-        return new StepSpec(
-                count,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                speculative,
-                longRunning,
-                null,
-                0,
-                false,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(1_000, 100, 0))
+                .estimateMillis(1_000)
+                .speculative(speculative)
+                .lasting(longRunning)
+                .build();
     }
 
     private void submit(String job, StepSpec step) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationUnderLoadTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationUnderLoadTest.java
@@ -11,6 +11,7 @@
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
@@ -49,23 +50,12 @@
     }
 
     private static StepSpec step(int count, long estimateMillis, boolean speculative) {
-        return new StepSpec(
-                count,
-                new Resources(1_000, 100, 0),
-                estimateMillis,
-                List.of(),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                speculative,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(1_000, 100, 0))
+                .estimateMillis(estimateMillis)
+                .speculative(speculative)
+                .build();
     }
 
     private static Result play(boolean speculative, double load, long seed) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -8,6 +8,7 @@
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -175,23 +176,13 @@
         session.removeWorker(session.worker("w1").running().isEmpty() ? "w1" : "w2");
         session.advance(Duration.ofSeconds(4));
         StepSpec plain = CellSession.step(1, 4_000, true, List.of());
-        StepSpec bestEffort = new StepSpec(
-                1,
-                plain.demand(),
-                plain.estimateMillis(),
-                List.of(),
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                true,
-                null,
-                0,
-                true,
-                0);
+        StepSpec bestEffort = new StepSpecBuilder()
+                .demand(plain.demand())
+                .estimateMillis(plain.estimateMillis())
+                .checkpointing(true)
+                .lasting(true)
+                .fills(true)
+                .build();
         submit("00000000000000dd", new JobSpec("work", List.of(bestEffort), 0, 0, 0));
         session.advance(Duration.ofSeconds(1));
         submit(JOB_ID, CellSession.job(1, 1_000, false));
@@ -213,22 +204,13 @@
 
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = CellSession.step(count, milliCores, true, List.of());
-        return new StepSpec(
-                count,
-                plain.demand(),
-                plain.estimateMillis(),
-                List.of(),
-                true,
-                false,
-                false,
-                null,
-                null,
-                1,
-                false,
-                true,
-                null,
-                0,
-                false,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(plain.demand())
+                .estimateMillis(plain.estimateMillis())
+                .checkpointing(true)
+                .maxPerWorker(1)
+                .lasting(true)
+                .build();
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/admission/QueueCapacityTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/admission/QueueCapacityTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
 
@@ -18,23 +19,12 @@
     private static final int LOW = 2;
 
     private static JobSpec job(long milliCores, long memoryMegabytes, boolean bestEffort) {
-        StepSpec step = new StepSpec(
-                10,
-                new Resources(milliCores, memoryMegabytes, 0),
-                800,
-                List.of(),
-                false,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                false,
-                null,
-                0,
-                bestEffort,
-                0);
+        StepSpec step = new StepSpecBuilder()
+                .count(10)
+                .demand(new Resources(milliCores, memoryMegabytes, 0))
+                .estimateMillis(800)
+                .fills(bestEffort)
+                .build();
         return new JobSpec("work", List.of(step), 0, 0, 0);
     }
 
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/model/package-info.java
@@ -0,0 +1,2 @@
+/** Builders of model objects for tests. */
+package org.flamingopitch.scheduler.cell.model;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/AdmissionControlTest.java
@@ -12,6 +12,7 @@
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
 
@@ -28,23 +29,11 @@
 
     private static final int TASK_COUNT = 10;
 
-    private static final StepSpec SHORT_STEP = new StepSpec(
-            TASK_COUNT,
-            new Resources(100, 10, 0),
-            TASK_MILLIS,
-            List.of(),
-            false,
-            false,
-            false,
-            null,
-            null,
-            0,
-            false,
-            false,
-            null,
-            0,
-            false,
-            0);
+    private static final StepSpec SHORT_STEP = new StepSpecBuilder()
+            .count(TASK_COUNT)
+            .demand(new Resources(100, 10, 0))
+            .estimateMillis(TASK_MILLIS)
+            .build();
 
     private final DurationEstimates estimates = new DurationEstimates();
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CompetingQueuesSimulation.java
@@ -16,6 +16,7 @@
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.model.Resources;
 import org.flamingopitch.scheduler.model.WorkerId;
@@ -138,23 +139,14 @@
 
     private static StepSpec step(
             int count, long milliCores, long memory, long estimateMillis, boolean longRunning, boolean bestEffort) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, memory, 0),
-                estimateMillis,
-                List.of(),
-                bestEffort,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                longRunning,
-                null,
-                0,
-                bestEffort,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, memory, 0))
+                .estimateMillis(estimateMillis)
+                .checkpointing(bestEffort)
+                .lasting(longRunning)
+                .fills(bestEffort)
+                .build();
     }
 
     /** Plays the load and returns what callers got. */
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -10,6 +10,7 @@
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.model.Resources;
 import org.flamingopitch.scheduler.model.WorkerId;
@@ -40,65 +41,40 @@
     }
 
     static StepSpec copyStep(boolean speculative, boolean longRunning, boolean bestEffort) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 10, 0),
-                1_000,
-                List.of(),
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                speculative,
-                longRunning,
-                "i",
-                0,
-                bestEffort,
-                0);
+        return new StepSpecBuilder()
+                .demand(new Resources(1_000, 10, 0))
+                .estimateMillis(1_000)
+                .checkpointing(true)
+                .speculative(speculative)
+                .lasting(longRunning)
+                .image("i")
+                .fills(bestEffort)
+                .build();
     }
 
     private static StepSpec step(
             String image, int count, long milliCores, long estimateMillis, boolean bestEffort, double targetMillis) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 10, 0),
-                estimateMillis,
-                List.of(),
-                true,
-                false,
-                false,
-                null,
-                null,
-                0,
-                false,
-                !bestEffort,
-                image,
-                targetMillis,
-                bestEffort,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, 10, 0))
+                .estimateMillis(estimateMillis)
+                .checkpointing(true)
+                .lasting(!bestEffort)
+                .image(image)
+                .targetMillis(targetMillis)
+                .fills(bestEffort)
+                .build();
     }
 
     /** Creates a step of short tasks that prefer a rack, or that run on one rack if they are a group. */
     static StepSpec rackStep(int count, long milliCores, long estimateMillis, String preferredRack, boolean group) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 10, 0),
-                estimateMillis,
-                List.of(),
-                false,
-                false,
-                group,
-                null,
-                preferredRack,
-                0,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(new Resources(milliCores, 10, 0))
+                .estimateMillis(estimateMillis)
+                .sameRack(group)
+                .preferredRack(preferredRack)
+                .build();
     }
 
     static Job job(String id, StepSpec step, Instant submittedAt) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicyTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicyTest.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
 
@@ -37,23 +38,14 @@
 
     private static StepSpec batchStep(int count, long milliCores, String label, int maxPerWorker) {
         Resources demand = new Resources(milliCores, 10, 0);
-        return new StepSpec(
-                count,
-                demand,
-                1_000,
-                List.of(),
-                true,
-                false,
-                false,
-                label,
-                null,
-                maxPerWorker,
-                false,
-                false,
-                null,
-                0,
-                false,
-                0);
+        return new StepSpecBuilder()
+                .count(count)
+                .demand(demand)
+                .estimateMillis(1_000)
+                .checkpointing(true)
+                .requiredLabel(label)
+                .maxPerWorker(maxPerWorker)
+                .build();
     }
 
     private WorkerState findBest(Job job, WorkerState... workers) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskCopyTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/TaskCopyTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import java.util.List;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.WorkerId;
 import org.junit.jupiter.api.Test;
 
@@ -42,23 +42,14 @@
     @Test
     void taskOfAGroupGetsNoSecondRun() {
         StepSpec plain = OwnerFixtures.speculativeStep();
-        StepSpec group = new StepSpec(
-                1,
-                plain.demand(),
-                plain.estimateMillis(),
-                List.of(),
-                true,
-                false,
-                true,
-                null,
-                null,
-                0,
-                true,
-                false,
-                "i",
-                0,
-                false,
-                0);
+        StepSpec group = new StepSpecBuilder()
+                .demand(plain.demand())
+                .estimateMillis(plain.estimateMillis())
+                .checkpointing(true)
+                .sameRack(true)
+                .speculative(true)
+                .image("i")
+                .build();
         assertNoSecondRun(running(group), otherWorker);
     }
 
