Keep what an owner has learned in one class

Change: LearnedStatistics holds, stores and restores them; the tick of RunManager is parted into runs and jobs. No decision changed.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -58,6 +58,8 @@
 
     private final CellRecordsLoader recordsLoader;
 
+    private final LearnedStatistics statistics;
+
     private final RunManager runManager;
 
     private final CellLoad load;
@@ -105,10 +107,12 @@
         this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
         Instant formerLeaseExpiry =
                 electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
-        this.runManager = new RunManager(context, timings, fencingToken, jobs, this::stepDownAfterRejection);
+        this.statistics = new LearnedStatistics(electedAt);
+        this.runManager =
+                new RunManager(context, timings, fencingToken, jobs, statistics, this::stepDownAfterRejection);
         this.workerRegistry = new WorkerRegistry(
                 context, fencingToken, timings.maxLease(), formerLeaseExpiry, evacuations, runManager);
-        this.load = new CellLoad(jobs, workerRegistry, runManager.bestEffortCompletionRate());
+        this.load = new CellLoad(jobs, workerRegistry, statistics.bestEffortCompletionRate());
         this.recordsLoader = new CellRecordsLoader(context, this::restore);
     }
 
@@ -277,7 +281,7 @@
             Map<JobId, JobRecord> records,
             Map<JobId, ProgressRecord> progress,
             LearnedRecord learnedStatistics) {
-        runManager.restoreLearnedStatistics(learnedStatistics);
+        statistics.restore(learnedStatistics);
         long timeOfDayMillis = context.timeOfDayMillis();
         records.forEach((id, record) -> {
             Job job = JobTable.restore(id, record, progress.get(id), workerRegistry, context.now(), timeOfDayMillis);
@@ -285,8 +289,7 @@
             jobs.add(job);
             runManager.onJobRestored(job);
         });
-        commitLog = new CommitLog(
-                context, fencingToken, ledgerVersion, runManager::learnedStatistics, new CommitListener());
+        commitLog = new CommitLog(context, fencingToken, ledgerVersion, statistics::record, new CommitListener());
         runManager.startPlacing(commitLog, workerRegistry, this::mayPlace);
         LOGGER.atInfo().log(
                 "event=cell_loaded fence=%d jobs=%d open=%d ms=%d",
@@ -314,7 +317,7 @@
             refuse(submit, AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, "the store does not answer", answer);
             return;
         }
-        JobShares shares = runManager.jobShares();
+        JobShares shares = statistics.jobShares();
         QueueName queue = submit.queue().name();
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
         AdmissionDecision decision = AdmissionControl.decide(
@@ -326,7 +329,7 @@
                 load.totalMilliCores(submit.queue()),
                 shares.share(queue, sizeClass),
                 shares.boost(queue, sizeClass),
-                runManager.estimates(),
+                statistics.estimates(),
                 context.now());
         recordDecision(submit, decision);
         if (!decision.admitted()) {
@@ -337,7 +340,7 @@
         Job job = new Job(submit.id(), submit.queue(), submit.spec(), context.now(), context.timeOfDayMillis());
         jobs.add(job);
         shares.onAdmitted(job, sizeClass);
-        runManager.averageJobWork().add(job.queue().name(), job.spec());
+        statistics.onAdmitted(job);
         LOGGER.atInfo().log(
                 "event=submitted job=%s queue=%s steps=%d tasks=%d work_core_ms=%d open=%d",
                 job.id(),
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedStatistics.java
@@ -0,0 +1,79 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.time.Instant;
+import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+
+/** What an owner has learned from the jobs and runs so far; most of it is stored for the next owner. */
+final class LearnedStatistics {
+
+    private final DurationEstimates estimates = new DurationEstimates();
+
+    private final InterferenceEstimator interference = new InterferenceEstimator();
+
+    private final AverageJobWork averageJobWork = new AverageJobWork();
+
+    private final ServiceShares shares = new ServiceShares();
+
+    private final JobShares jobShares = new JobShares(shares, averageJobWork);
+
+    private final CompletionRate bestEffortCompletionRate;
+
+    LearnedStatistics(Instant now) {
+        bestEffortCompletionRate = new CompletionRate(now);
+    }
+
+    DurationEstimates estimates() {
+        return estimates;
+    }
+
+    InterferenceEstimator interference() {
+        return interference;
+    }
+
+    JobShares jobShares() {
+        return jobShares;
+    }
+
+    /** Returns the rate at which best-effort work completes. */
+    CompletionRate bestEffortCompletionRate() {
+        return bestEffortCompletionRate;
+    }
+
+    /** Creates the order in which waiting jobs are placed. */
+    JobQueueOrder queueOrder() {
+        return new JobQueueOrder(estimates, averageJobWork, shares);
+    }
+
+    /** Takes note of a job that was admitted. */
+    void onAdmitted(Job job) {
+        averageJobWork.add(job.queue().name(), job.spec());
+    }
+
+    /** Takes note of a job that was restored from its records. */
+    void onRestored(Job job, Instant now) {
+        averageJobWork.add(job.queue().name(), job.spec());
+        jobShares.onRestored(job, now);
+    }
+
+    /** Adds the work of a task that is done to the rate of completion, if it is best-effort. */
+    void recordCompletedWork(Task task, Instant now) {
+        StepSpec spec = task.step().spec();
+        if (spec.fills()) {
+            long expectedMillis = estimates.expectedMillis(task.job().queue().name(), spec.estimateMillis());
+            bestEffortCompletionRate.add(spec.demand().milliCores() * expectedMillis, now);
+        }
+    }
+
+    /** Returns what is stored for the next owner. */
+    LearnedRecord record() {
+        return new LearnedRecord(estimates.records(), interference.records(), shares.records());
+    }
+
+    /** Restores what a former owner stored. */
+    void restore(LearnedRecord record) {
+        estimates.restore(record.durations());
+        interference.restore(record.responses());
+        shares.restore(record.shares());
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -7,13 +7,11 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.disruption.EvacuationLimit;
 import org.flamingopitch.scheduler.cell.locality.PlacementWait;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.RunReport;
-import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
@@ -44,26 +42,16 @@
 
     private final WorkerHealth health = new WorkerHealth();
 
-    private final InterferenceEstimator interference = new InterferenceEstimator();
-
     private final CrashAttribution crashAttribution = new CrashAttribution();
 
     private final PlacementPolicy placementPolicy;
 
     private final TaskPlacer placer;
 
-    private final DurationEstimates estimates = new DurationEstimates();
+    private final LearnedStatistics statistics;
 
     private final RackWaitPlanner rackWaits;
 
-    private final AverageJobWork averageJobWork = new AverageJobWork();
-
-    private final ServiceShares shares = new ServiceShares();
-
-    private final JobShares jobShares = new JobShares(shares, averageJobWork);
-
-    private final CompletionRate bestEffortCompletionRate;
-
     private final CopyPlanner copyPlanner;
 
     private final CellSummaryLogger summaryLogger = new CellSummaryLogger();
@@ -88,16 +76,17 @@
             CellTimings timings,
             long fencingToken,
             JobTable jobs,
+            LearnedStatistics statistics,
             Consumer<WorkerState> newerFencingTokenHandler) {
         this.context = context;
-        this.bestEffortCompletionRate = new CompletionRate(context.now());
         this.timings = timings;
         this.jobs = jobs;
+        this.statistics = statistics;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
         this.orderSender = new WorkerOrderSender(
                 context, fencingToken, EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()), this);
-        JobQueueOrder order = new JobQueueOrder(estimates, averageJobWork, shares);
-        this.placementPolicy = new PlacementPolicy(health, interference);
+        DurationEstimates estimates = statistics.estimates();
+        this.placementPolicy = new PlacementPolicy(health, statistics.interference());
         BestEffortPreemption bestEffortPreemption =
                 new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.metrics());
         this.rackWaits = new RackWaitPlanner(
@@ -109,13 +98,13 @@
                 placementPolicy,
                 orderSender,
                 health,
-                order,
+                statistics.queueOrder(),
                 crashAttribution,
                 bestEffortPreemption,
                 rackWaits,
                 copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
-        this.throttleController = new ThrottleController(orderSender, interference, this::mayStop);
+        this.throttleController = new ThrottleController(orderSender, statistics.interference(), this::mayStop);
     }
 
     /**
@@ -127,8 +116,7 @@
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
         mayAct = mayActNow;
-        runMover = new RunMover(
-                context.metrics(), orderSender, newWorkerRegistry, estimates, health, placementPolicy, interference);
+        runMover = new RunMover(context.metrics(), orderSender, newWorkerRegistry, statistics, health, placementPolicy);
         copyPlanner.enable(newWorkerRegistry);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
@@ -140,39 +128,9 @@
         callbacks.forEach(Runnable::run);
     }
 
-    DurationEstimates estimates() {
-        return estimates;
-    }
-
-    AverageJobWork averageJobWork() {
-        return averageJobWork;
-    }
-
-    JobShares jobShares() {
-        return jobShares;
-    }
-
-    /** Returns the rate at which best-effort work completes. */
-    CompletionRate bestEffortCompletionRate() {
-        return bestEffortCompletionRate;
-    }
-
-    /** Returns the learned statistics, to be stored for the next owner. */
-    LearnedRecord learnedStatistics() {
-        return new LearnedRecord(estimates.records(), interference.records(), shares.records());
-    }
-
-    /** Restores the learned statistics that a former owner stored. */
-    void restoreLearnedStatistics(LearnedRecord record) {
-        estimates.restore(record.durations());
-        interference.restore(record.responses());
-        shares.restore(record.shares());
-    }
-
     /** Takes note of a job that was restored from its records. */
     void onJobRestored(Job job) {
-        averageJobWork.add(job.queue().name(), job.spec());
-        jobShares.onRestored(job, context.now());
+        statistics.onRestored(job, context.now());
         crashAttribution.restore(job);
     }
 
@@ -246,6 +204,11 @@
         }
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
+        checkRuns(now);
+        checkJobs(now);
+    }
+
+    private void checkRuns(Instant now) {
         runMover.startTick(now);
         for (WorkerState worker : List.copyOf(workerRegistry.workers())) {
             boolean evacuated = workerRegistry.evacuated(worker);
@@ -257,8 +220,11 @@
                 runMover.moveIfRequired(run, now);
             }
         }
+    }
+
+    private void checkJobs(Instant now) {
         for (Job job : List.copyOf(jobs.all())) {
-            jobShares.countIfDecided(job, now);
+            statistics.jobShares().countIfDecided(job, now);
             boolean retentionOver = !job.open() && !now.isBefore(job.endedAt().plus(timings.doneJobRetention()));
             if (retentionOver && job.endStateDurable() && !job.hasOpenRun()) {
                 jobs.remove(job);
@@ -410,11 +376,12 @@
         stopRuns(task);
         task.step().incrementDoneCount();
         if (run != null) {
-            recordBestEffortWork(task);
+            statistics.recordCompletedWork(task, context.now());
             long durationMillis =
                     (long) (Duration.between(run.placedAt(), context.now()).toMillis() / rackWaits.distanceFactor(run));
-            double slowdown = estimates.recordRun(
-                    task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
+            double slowdown = statistics
+                    .estimates()
+                    .recordRun(task.job().queue().name(), task.step().spec().estimateMillis(), durationMillis);
             if (run.beginKnown()) {
                 copyPlanner.recordCompleted(run, durationMillis);
             }
@@ -429,14 +396,6 @@
         }
     }
 
-    private void recordBestEffortWork(Task task) {
-        StepSpec spec = task.step().spec();
-        if (spec.fills()) {
-            long expectedMillis = estimates.expectedMillis(task.job().queue().name(), spec.estimateMillis());
-            bestEffortCompletionRate.add(spec.demand().milliCores() * expectedMillis, context.now());
-        }
-    }
-
     @Override
     public void onUnexpectedRun(WorkerState worker, RunReport report) {
         Task task = jobs.task(report.task());
@@ -466,9 +425,9 @@
             commitLog.write(cleared.job(), false, null);
             placer.requestPass();
         }
-        interference.update(worker, context.now());
+        statistics.interference().update(worker, context.now());
         throttleController.adjustThrottling(worker, context.now());
-        worker.setNeedsFrequentPolling(interference.isTargetAtRisk(worker, context.now()));
+        worker.setNeedsFrequentPolling(statistics.interference().isTargetAtRisk(worker, context.now()));
     }
 
     @Override
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -46,14 +46,12 @@
 
     private final WorkerRegistry workerRegistry;
 
-    private final DurationEstimates estimates;
+    private final LearnedStatistics statistics;
 
     private final WorkerHealth health;
 
     private final PlacementPolicy placementPolicy;
 
-    private final InterferenceEstimator interference;
-
     /** The steps whose tasks were counted in this tick, without those whose counts have changed since. */
     private final Map<Step, StepAvailability> availabilities = new HashMap<>();
 
@@ -72,17 +70,15 @@
             OwnerMetrics metrics,
             WorkerOrderSender orderSender,
             WorkerRegistry workerRegistry,
-            DurationEstimates estimates,
+            LearnedStatistics statistics,
             WorkerHealth health,
-            PlacementPolicy placementPolicy,
-            InterferenceEstimator interference) {
+            PlacementPolicy placementPolicy) {
         this.metrics = metrics;
         this.orderSender = orderSender;
         this.workerRegistry = workerRegistry;
-        this.estimates = estimates;
+        this.statistics = statistics;
         this.health = health;
         this.placementPolicy = placementPolicy;
-        this.interference = interference;
     }
 
     /** Begins a pass over all runs. */
@@ -213,14 +209,16 @@
                 || health.quarantined(worker.id(), now)) {
             return false;
         }
-        return !step.spec().latencyCritical() || interference.predictHeadroom(step, worker, now) >= 1;
+        return !step.spec().latencyCritical() || statistics.interference().predictHeadroom(step, worker, now) >= 1;
     }
 
     private void stopIfStalled(Run run, Instant now) {
         Duration expected = Duration.ofMillis(2
-                * estimates.expectedMillis(
-                        run.task().job().queue().name(),
-                        run.task().step().spec().estimateMillis()));
+                * statistics
+                        .estimates()
+                        .expectedMillis(
+                                run.task().job().queue().name(),
+                                run.task().step().spec().estimateMillis()));
         boolean overdue = now.isAfter(run.placedAt().plus(expected).plus(STALL_TIMEOUT));
         boolean stalled = run.withoutProgressFor(STALL_TIMEOUT) && workerRegistry.answering(run.worker());
         boolean throttled = run.throttledToPercent() != FULL_SPEED_PERCENT;
