--- /dev/null
+++ b/bench/src/test/java/org/flamingopitch/bench/compare/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the comparison of two builds. */
+package org.flamingopitch.bench.compare;
