Withdraw a start that is no longer wanted, and stop without waiting for its answer

A start may wait 0.9 s for one of four connections to its worker and nothing withdrew it when the task was done; the stop was sent only after the start had been answered or had timed out. Ruled out by reading: a copy that waits for its commit, and a repeated start.

Change: a stop withdraws a start that waits in the connection pool (OrderWithdrawal) and is sent at once. The run records its open start and its open stop separately, and an answered stop settles both.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.flamingopitch.scheduler.cell.port.OrderWithdrawal;
 import org.flamingopitch.scheduler.cell.speculation.RunProgress;
 
 /**
@@ -60,8 +61,11 @@
      */
     private Instant orderOutcomeKnownAt;
 
-    /** Whether an order was sent and has not been answered yet. */
-    private boolean orderInFlight;
+    /** Withdraws the start that has not been answered yet; null if there is none. */
+    private OrderWithdrawal startInFlight;
+
+    /** Whether a stop was sent and has not been answered yet. */
+    private boolean stopInFlight;
 
     /** Whether a start was left unanswered and no stop has been answered since, so that it may be executed late. */
     private boolean startUnanswered;
@@ -226,20 +230,39 @@
         orderOutcomeKnownAt = null;
     }
 
-    boolean orderInFlight() {
-        return orderInFlight;
+    /** Returns whether a start was sent and has not been answered yet. */
+    boolean startInFlight() {
+        return startInFlight != null;
+    }
+
+    void markStartSent(OrderWithdrawal withdrawal) {
+        startInFlight = withdrawal;
+    }
+
+    void markStartAnswered() {
+        startInFlight = null;
+    }
+
+    /** Withdraws the start that was sent last, if it still waits for a connection. */
+    void withdrawStart() {
+        if (startInFlight != null) {
+            startInFlight.withdraw();
+        }
+    }
+
+    boolean stopInFlight() {
+        return stopInFlight;
     }
 
-    void markOrderSent() {
-        orderInFlight = true;
+    void markStopSent() {
+        stopInFlight = true;
     }
 
-    void markOrderAnswered() {
-        orderInFlight = false;
+    void markStopAnswered() {
+        stopInFlight = false;
     }
 
     void markOrderUnanswered(Instant nextRetryAt) {
-        orderInFlight = false;
         unansweredOrders++;
         retryAt = nextRetryAt;
     }
@@ -255,6 +278,7 @@
     /** Records that the worker has answered a stop, after which it executes no start of this run. */
     void markStartsSettled() {
         startUnanswered = false;
+        startInFlight = null;
     }
 
     /**
@@ -267,7 +291,7 @@
 
     /** Returns whether a start may still be executed by the worker, also by a later incarnation of it. */
     boolean startMayBeExecutedLate() {
-        return startUnanswered || orderInFlight && phase != RunPhase.STOPPING;
+        return startUnanswered || startInFlight();
     }
 
     Instant retryAt() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -5,6 +5,7 @@
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.OrderRejection;
+import org.flamingopitch.scheduler.cell.port.OrderWithdrawal;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 
@@ -44,11 +45,15 @@
         sendStart(run);
     }
 
-    /** Stops a run whose start was sent; a worker that has not received the start yet then refuses it. */
+    /**
+     * Stops a run whose start was sent. A start that waits for a connection is withdrawn; if it is under way, the stop
+     * does not wait for its answer, since a worker that receives the stop first refuses the start.
+     */
     void stop(Run run) {
         if (run.phase() == RunPhase.STOPPING || run.phase() == RunPhase.PLANNED) {
             return;
         }
+        run.withdrawStart();
         run.enterPhase(RunPhase.STOPPING, context.now());
         run.setOrderOutcomeUnknown();
         sendStop(run);
@@ -85,21 +90,19 @@
 
     /** Stops a run whose start is known to have got no answer, instead of repeating the start. */
     void stopIfStartUnanswered(Run run) {
-        if (run.phase() == RunPhase.SENT && run.unansweredOrders() > 0 && !run.orderInFlight()) {
+        if (run.phase() == RunPhase.SENT && run.unansweredOrders() > 0 && !run.startInFlight()) {
             stop(run);
         }
     }
 
     /** Sends the last order of a run again if its outcome is unknown and the retry delay is over. */
     void repeatOrderIfDue(Run run) {
-        if (run.orderInFlight()
-                || run.orderOutcomeKnownAt() != null
-                || context.now().isBefore(run.retryAt())) {
+        if (run.orderOutcomeKnownAt() != null || context.now().isBefore(run.retryAt())) {
             return;
         }
-        if (run.phase() == RunPhase.SENT) {
+        if (run.phase() == RunPhase.SENT && !run.startInFlight()) {
             sendStart(run);
-        } else if (run.phase() == RunPhase.STOPPING) {
+        } else if (run.phase() == RunPhase.STOPPING && !run.stopInFlight()) {
             sendStop(run);
         }
     }
@@ -108,7 +111,8 @@
         if (!run.worker().registered()) {
             return;
         }
-        run.markOrderSent();
+        OrderWithdrawal withdrawal = new OrderWithdrawal();
+        run.markStartSent(withdrawal);
         long leaseEnd = run.worker().grantLease(startLease, context.now());
         WorkerOrder order = new WorkerOrder.Start(
                 run.task().ref(),
@@ -116,12 +120,13 @@
                 run.task().job().spec().payload(),
                 leaseEnd,
                 fencingToken,
-                run.task().checkpoint());
+                run.task().checkpoint(),
+                withdrawal);
         context.callWorker(run.worker().target(), order, answer -> handleStartAnswer(run, answer));
     }
 
     private void handleStartAnswer(Run run, WorkerAnswer answer) {
-        run.markOrderAnswered();
+        run.markStartAnswered();
         if (!run.task().hasRun(run)) {
             return;
         }
@@ -162,16 +167,16 @@
     }
 
     private void sendStop(Run run) {
-        if (!run.worker().registered() || run.orderInFlight()) {
+        if (!run.worker().registered() || run.stopInFlight()) {
             return;
         }
-        run.markOrderSent();
+        run.markStopSent();
         WorkerOrder order = new WorkerOrder.Stop(run.task().ref(), run.number(), fencingToken);
         context.callWorker(run.worker().target(), order, answer -> handleStopAnswer(run, answer));
     }
 
     private void handleStopAnswer(Run run, WorkerAnswer answer) {
-        run.markOrderAnswered();
+        run.markStopAnswered();
         if (!run.task().hasRun(run)) {
             return;
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -237,7 +237,7 @@
 
     /** Returns whether a run was ordered from another incarnation than the present one. */
     private static boolean startedOnFormerIncarnation(Run run, long incarnation) {
-        boolean firstOrderInFlight = run.orderInFlight() && run.unansweredOrders() == 0;
+        boolean firstOrderInFlight = (run.startInFlight() || run.stopInFlight()) && run.unansweredOrders() == 0;
         return run.phase() != RunPhase.PLANNED
                 && !firstOrderInFlight
                 && run.workerIncarnation() != 0
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/WorkerOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/WorkerOrder.java
@@ -26,8 +26,16 @@
      * @param leaseEndMillis when the worker's lease ends, in milliseconds on the worker's clock
      * @param fence the fencing token
      * @param checkpoint the checkpoint to resume from, empty to start from the beginning
+     * @param withdrawal withdraws this order while it waits for a connection
      */
-    record Start(TaskRef task, int run, String payload, long leaseEndMillis, long fence, String checkpoint)
+    record Start(
+            TaskRef task,
+            int run,
+            String payload,
+            long leaseEndMillis,
+            long fence,
+            String checkpoint,
+            OrderWithdrawal withdrawal)
             implements WorkerOrder {}
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -269,6 +269,10 @@
         startDelayMillis = millis;
     }
 
+    boolean startDelayed(TaskRef task) {
+        return delayedStarts.keySet().stream().anyMatch(start -> start.task().equals(task));
+    }
+
     /** Restarts the worker as a new incarnation under the same name, without its runs and its fencing token. */
     public void restart() {
         incarnation++;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SpeculationTest.java
@@ -132,6 +132,24 @@
         advance(Duration.ofSeconds(2));
     }
 
+    @Test
+    void copyWhoseStartIsDelayedOnItsWayIsNotExecutedAfterTheTaskIsDone() {
+        durations.put(STRAGGLER + "/1", 60_000L);
+        advanceUntil(() -> places(STRAGGLER).size() == 1);
+        FakeWorker first = placeOf(1);
+        // Shorter than the time-out of the start, after which a stop would come too late.
+        WORKERS.forEach(name -> session.worker(name).setStartDelayMillis(500));
+        advanceUntil(() -> copyOrdered());
+        first.end(STRAGGLER, EndKind.DONE);
+        advance(Duration.ofMillis(3_000));
+        assertThat(starts(STRAGGLER)).containsExactly(STRAGGLER + "/1");
+        assertThat(done(COPIED)).isTrue();
+    }
+
+    private boolean copyOrdered() {
+        return WORKERS.stream().anyMatch(name -> session.worker(name).startDelayed(STRAGGLER));
+    }
+
     @Test
     void copyThatIsFasterCompletesTheTaskAndTheOtherRunIsStopped() {
         durations.put(STRAGGLER + "/2", 1_000L);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -103,6 +103,31 @@
         assertThat(listener.refused).containsExactly(run);
     }
 
+    @Test
+    void startThatWaitsForAConnectionIsWithdrawnByAStop() {
+        sender.stop(run);
+        WorkerOrder.Start start = (WorkerOrder.Start) context.orders.getFirst();
+        assertThat(start.withdrawal().withdrawn()).isTrue();
+    }
+
+    @Test
+    void stopIsSentBeforeTheStartIsAnswered() {
+        sender.stop(run);
+        assertThat(context.orders.getLast()).isInstanceOf(WorkerOrder.Stop.class);
+    }
+
+    @Test
+    void lateAnswerToTheStartDoesNotRepeatAStopThatWasAnswered() {
+        sender.stop(run);
+        Consumer<WorkerAnswer> startHandler = context.handlers.remove();
+        context.answer(new WorkerAnswer.Done(0));
+        startHandler.accept(new WorkerAnswer.Lost(NO_ANSWER));
+        context.advance(Duration.ofSeconds(1));
+        sender.repeatOrderIfDue(run);
+        assertThat(context.orders).hasSize(2);
+        assertThat(run.startMayBeExecutedLate()).isFalse();
+    }
+
     /** A clock that the test advances, and a worker whose calls the test answers one by one. */
     private static final class ScriptedWorker implements CellContext {
 
--- a/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
@@ -121,7 +121,12 @@
 
     private void sendPendingRequests() {
         while (!pendingRequests.isEmpty()) {
-            if (!clock.now().isBefore(pendingRequests.peek().order().notAfter())) {
+            HttpRequest next = pendingRequests.peek().order();
+            if (next.withdrawn().getAsBoolean()) {
+                pendingRequests.poll().handler().accept(notSent("it was withdrawn"));
+                continue;
+            }
+            if (!clock.now().isBefore(next.notAfter())) {
                 pendingRequests.poll().handler().accept(notSent("the time to send it has passed"));
                 continue;
             }
--- a/transport/src/test/java/org/flamingopitch/transport/http/HttpClientTest.java
+++ b/transport/src/test/java/org/flamingopitch/transport/http/HttpClientTest.java
@@ -8,9 +8,11 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.flamingopitch.coordination.api.SystemTimeSourceClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,12 +47,30 @@
     }
 
     private BlockingQueue<HttpOutcome> send(Duration timeout) {
+        return send(MAX_CONNECTIONS, new HttpRequest("GET", "/", new byte[0], timeout, Instant.MAX));
+    }
+
+    private BlockingQueue<HttpOutcome> send(int maxConnections, HttpRequest request) {
         BlockingQueue<HttpOutcome> outcomes = new ArrayBlockingQueue<>(1);
-        HttpRequest request = new HttpRequest("GET", "/", new byte[0], timeout, Instant.MAX);
-        client.send(address, MAX_CONNECTIONS, request, outcomes::add);
+        client.send(address, maxConnections, request, outcomes::add);
         return outcomes;
     }
 
+    @Test
+    void requestThatIsWithdrawnWhileItWaitsForAConnectionIsNotSent() throws Exception {
+        BlockingQueue<HttpOutcome> first = send(1, new HttpRequest("GET", "/", new byte[0], SHORT_CALL, Instant.MAX));
+        try (Socket busy = server.accept()) {
+            AtomicBoolean withdrawn = new AtomicBoolean();
+            HttpRequest waiting =
+                    new HttpRequest("GET", "/", new byte[0], LONG_POLL, Instant.MAX, List.of(), withdrawn::get);
+            BlockingQueue<HttpOutcome> second = send(1, waiting);
+            withdrawn.set(true);
+            assertThat(first.poll(5, TimeUnit.SECONDS)).isInstanceOf(HttpOutcome.Lost.class);
+            assertThat(second.poll(5, TimeUnit.SECONDS)).isInstanceOf(HttpOutcome.NotSent.class);
+            assertThat(busy.isConnected()).isTrue();
+        }
+    }
+
     @Test
     void requestDoesNotWaitForALongPollWhenNoFurtherConnectionCanBeOpened() throws Exception {
         BlockingQueue<HttpOutcome> longPoll = send(LONG_POLL);
