Refuse submissions at once that wait behind an unanswered transaction

Cause: the owner keeps one transaction open. A caller cannot tell that such a job was not stored.

Change: StoreOutage takes the store for away when the open transaction has been unanswered for four times the usual time, 0.4 s at least. The owner then takes back the jobs that were in no transaction, with their planned runs, and refuses them and new ones with a Retry-After that grows with the outage. What is in the open transaction stays in doubt. PendingAnswers replaces the callbacks of RunManager.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionOutcome.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionOutcome.java
@@ -15,7 +15,10 @@
     UNSUPPORTED("unsupported"),
 
     /** The store has not confirmed the ownership recently enough. */
-    UNCONFIRMED("unconfirmed");
+    UNCONFIRMED("unconfirmed"),
+
+    /** The store does not answer, and the job was in no transaction. */
+    STORE_AWAY("store_away");
 
     private final String label;
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/RetryDelay.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/RetryDelay.java
@@ -6,7 +6,7 @@
  * Computes when the caller of a rejected job should submit it again: not before capacity is expected, and not all
  * callers of a burst at the same time, as that would be the next burst.
  */
-final class RetryDelay {
+public final class RetryDelay {
 
     private static final long MIN_SECONDS = 1;
 
@@ -25,8 +25,9 @@
      *
      * @param excess the time until the excess work is done
      * @param jobId the job's id, whose hash decides where in the range the delay lies
+     * @return the delay
      */
-    static Duration of(Duration excess, String jobId) {
+    public static Duration of(Duration excess, String jobId) {
         long excessSeconds = (excess.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
         long begin = Math.max(MIN_SECONDS, Math.min(MAX_BEGIN_SECONDS, excessSeconds));
         long end = Math.min(MAX_SECONDS, 2 * begin);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -11,12 +11,14 @@
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
+import org.flamingopitch.scheduler.cell.admission.RetryDelay;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.QueueName;
+import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
@@ -54,6 +56,8 @@
 
     private final List<WaitingRequest> waitingRequests = new ArrayList<>();
 
+    private final PendingAnswers pendingAnswers = new PendingAnswers();
+
     private final WorkerRegistry workerRegistry;
 
     private final CellRecordsLoader recordsLoader;
@@ -165,7 +169,7 @@
                 fencingToken, cause, jobs.all().size());
         waitingRequests.forEach(each -> each.answer().accept(new JobAnswer.NotOwner()));
         waitingRequests.clear();
-        runManager.close();
+        pendingAnswers.close();
     }
 
     /**
@@ -233,6 +237,9 @@
         workerRegistry.tick(mayAct());
         runManager.tick();
         commitLog.sendIfDue();
+        if (commitLog.outage().away(context.now())) {
+            refuseUnsentJobs();
+        }
     }
 
     /** Sends the changes that wait to be committed, before the ownership is given up. */
@@ -304,19 +311,23 @@
 
     private void submit(JobRequest.Submit submit, Consumer<JobAnswer> answer) {
         Job existing = jobs.job(submit.id());
-        if (existing != null) {
-            runWhenDurable(existing, () -> answer.accept(new JobAnswer.Accepted()), answer);
-            return;
-        }
         Optional<String> unsupportedFeature = unsupportedFeature(submit);
-        if (unsupportedFeature.isPresent()) {
-            refuse(submit, AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, unsupportedFeature.get(), answer);
-            return;
-        }
-        if (!mayAct()) {
-            refuse(submit, AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, "the store does not answer", answer);
-            return;
+        if (existing != null) {
+            answerWhenDurable(existing, new JobAnswer.Accepted(), answer);
+        } else if (unsupportedFeature.isPresent()) {
+            String detail = unsupportedFeature.get();
+            refuse(submit.id(), submit.queue(), AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, detail, answer);
+        } else if (commitLog.outage().away(context.now())) {
+            refuseStoreAway(submit.id(), submit.queue(), answer);
+        } else if (!mayAct()) {
+            String detail = "the store does not answer";
+            refuse(submit.id(), submit.queue(), AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, detail, answer);
+        } else {
+            admit(submit, answer);
         }
+    }
+
+    private void admit(JobRequest.Submit submit, Consumer<JobAnswer> answer) {
         JobShares shares = statistics.jobShares();
         QueueName queue = submit.queue().name();
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
@@ -350,7 +361,7 @@
                 job.spec().estimatedWork() / MILLICORES_PER_CORE,
                 jobs.all().size());
         runManager.requestPlacement();
-        runWhenDurable(job, () -> answer.accept(new JobAnswer.Accepted()), answer);
+        answerWhenDurable(job, new JobAnswer.Accepted(), answer);
     }
 
     /** Counts a decision on a submission, and logs it if the job is rejected. */
@@ -371,15 +382,16 @@
     }
 
     private void refuse(
-            JobRequest.Submit submit,
+            JobId id,
+            QueueSpec queue,
             AdmissionOutcome outcome,
             Duration retryDelay,
             String detail,
             Consumer<JobAnswer> answer) {
-        context.metrics().recordAdmission(submit.queue().priority(), outcome.label());
+        context.metrics().recordAdmission(queue.priority(), outcome.label());
         LOGGER.atWarning().log(
                 "event=refused job=%s queue=%s reason=%s retry_ms=%d detail=\"%s\"",
-                submit.id(), submit.queue().name(), outcome.label(), retryDelay.toMillis(), detail);
+                id, queue.name(), outcome.label(), retryDelay.toMillis(), detail);
         answer.accept(new JobAnswer.Refused(retryDelay, detail));
     }
 
@@ -402,12 +414,28 @@
             LOGGER.atInfo().log("event=cancelled job=%s", id);
             runManager.endJob(job, JobState.CANCELLED);
         }
-        runWhenDurable(job, () -> answer.accept(new JobAnswer.Cancelled()), answer);
+        answerWhenDurable(job, new JobAnswer.Cancelled(), answer);
+    }
+
+    /** Answers when the present state of the job is durable, or InDoubt if the ownership ends before. */
+    private void answerWhenDurable(Job job, JobAnswer answer, Consumer<JobAnswer> caller) {
+        commitLog.write(job, true, pendingAnswers.add(job.id(), caller, answer));
+    }
+
+    /** Refuses the jobs that wait behind an unanswered transaction: nothing of them has been sent to the store. */
+    private void refuseUnsentJobs() {
+        for (Job job : commitLog.withdrawUnsentJobs()) {
+            runManager.withdraw(job);
+            refuseStoreAway(job.id(), job.queue(), refusal -> pendingAnswers.answer(job.id(), refusal));
+        }
     }
 
-    /** Runs an action when the present state of the job is durable; answers InDoubt if the ownership ends before. */
-    private void runWhenDurable(Job job, Runnable action, Consumer<JobAnswer> answer) {
-        runManager.awaitDurable(job, action, () -> answer.accept(new JobAnswer.InDoubt()));
+    private void refuseStoreAway(JobId id, QueueSpec queue, Consumer<JobAnswer> answer) {
+        Duration elapsed = commitLog.outage().elapsed(context.now());
+        // An outage that has lasted long is likely to last longer; callers have few attempts.
+        Duration retryDelay = RetryDelay.of(elapsed.dividedBy(2), id.value());
+        String detail = "the store has not answered for " + elapsed.toMillis() + " ms";
+        refuse(id, queue, AdmissionOutcome.STORE_AWAY, retryDelay, detail, answer);
     }
 
     private void stepDownAfterRejection(WorkerState worker) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -14,6 +14,7 @@
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.scheduler.cell.model.JobId;
+import org.flamingopitch.scheduler.cell.outage.StoreOutage;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 
 /**
@@ -52,6 +53,8 @@
 
     private long sequence;
 
+    private final StoreOutage outage = new StoreOutage();
+
     private Batch inFlight;
 
     private Instant lastSentAt = Instant.MIN;
@@ -102,6 +105,30 @@
         add(change, false, null);
     }
 
+    /** Returns whether and how long the store has been away. */
+    StoreOutage outage() {
+        return outage;
+    }
+
+    /**
+     * Removes the changes of open jobs that were in no transaction, so that it is certain that they are not stored and
+     * never will be.
+     *
+     * @return the jobs
+     */
+    List<Job> withdrawUnsentJobs() {
+        List<Job> withdrawn = new ArrayList<>();
+        for (Change change : changes.values()) {
+            Job job = change.job;
+            boolean sent = job.definitionStored() || inFlight != null && inFlight.contains(job);
+            if (!sent && job.open() && !job.started()) {
+                withdrawn.add(job);
+            }
+        }
+        withdrawn.forEach(job -> changes.remove(job.id()));
+        return withdrawn;
+    }
+
     /** Returns the highest sequence number up to which all changes are durable. */
     long durableSequence() {
         long firstPending = inFlight == null ? Long.MAX_VALUE : inFlight.firstSequence;
@@ -149,6 +176,7 @@
         }
         inFlight = nextBatch();
         lastSentAt = context.now();
+        outage.onSent(lastSentAt);
         send(inFlight);
     }
 
@@ -237,6 +265,7 @@
 
     private void finishBatch(Batch batch, long version) {
         ledgerVersion = version;
+        outage.onAnswered(context.now());
         inFlight = null;
         for (Change change : batch.changes) {
             change.job.markDefinitionStored();
@@ -303,5 +332,10 @@
         }
     }
 
-    private record Batch(KeyValueRequest request, String commitMarker, List<Change> changes, long firstSequence) {}
+    private record Batch(KeyValueRequest request, String commitMarker, List<Change> changes, long firstSequence) {
+
+        boolean contains(Job job) {
+            return changes.stream().anyMatch(change -> change.job == job);
+        }
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -58,9 +57,6 @@
 
     private final WaitingTaskLogger waitingTaskLogger;
 
-    /** Callbacks for changes that are not durable yet; run when the ownership ends before. */
-    private final List<Runnable> outcomeUnknownCallbacks = new ArrayList<>();
-
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -121,13 +117,6 @@
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
 
-    /** Runs the callbacks of all changes whose outcome is unknown. */
-    void close() {
-        List<Runnable> callbacks = List.copyOf(outcomeUnknownCallbacks);
-        outcomeUnknownCallbacks.clear();
-        callbacks.forEach(Runnable::run);
-    }
-
     /** Takes note of a job that was restored from its records. */
     void onJobRestored(Job job) {
         statistics.onRestored(job, context.now());
@@ -139,18 +128,15 @@
         placer.requestPass();
     }
 
-    /**
-     * Stores a job and runs an action when the record is durable.
-     *
-     * @param onOutcomeUnknown called instead of the action if the ownership ends before
-     */
-    void awaitDurable(Job job, Runnable action, Runnable onOutcomeUnknown) {
-        outcomeUnknownCallbacks.add(onOutcomeUnknown);
-        commitLog.write(job, true, () -> {
-            if (outcomeUnknownCallbacks.remove(onOutcomeUnknown)) {
-                action.run();
+    /** Removes a job that was never sent to the store, with its planned runs. */
+    void withdraw(Job job) {
+        for (List<Step> steps : job.occurrences()) {
+            for (Step step : steps) {
+                step.tasks().forEach(task -> task.runs().forEach(run -> run.release(context.now())));
             }
-        });
+        }
+        jobs.remove(job);
+        placer.requestPass();
     }
 
     /** Marks the ends of runs as durable whose changes have been committed. */
