Log why short tasks wait beside free processors

Change: PlacementObstacle names the tests of PlacementPolicy in their order, and the score uses it. WaitingShortTaskLogger logs every 2 s, for the three images of which most tasks have waited for a second, how many workers each test excludes. No decision changes.

--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacle.java
@@ -0,0 +1,38 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import java.util.Locale;
+
+/** Why a worker does not take a task: the first of the tests, in this order, that the worker fails. */
+enum PlacementObstacle {
+    /** The worker is draining, unreachable, evacuated or in quarantine for all tasks. */
+    UNUSABLE,
+
+    /** Reservations leave too little memory, processor time or other resources. */
+    CAPACITY,
+
+    /** The service, the label or the limit of tasks per worker of the step excludes the worker. */
+    NOT_PERMITTED,
+
+    /** The worker is in quarantine and has its one short task. */
+    TRIAL,
+
+    /** Best-effort tasks and the load of latency-critical ones leave too little processor time. */
+    PROCESSOR_TIME,
+
+    /** The interference with a latency-critical image there is not known, and another task is being tried. */
+    UNKNOWN_INTERFERENCE,
+
+    /** A latency-critical task there would get too little headroom. */
+    HEADROOM,
+
+    /** The worker is reserved for another task, or a task there needs isolation. */
+    RESERVED,
+
+    /** The worker takes the task. */
+    NONE;
+
+    /** Returns the name in logs and metrics. */
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -98,19 +98,12 @@
     /** Returns the score of a worker for the tasks of a step; higher is better. */
     double score(Step step, PlacementCandidate candidate, boolean reserveExhausted) {
         StepSpec spec = step.spec();
-        WorkerState worker = candidate.worker();
-        if (!spec.reserved().fitsInto(candidate.free()) || !permits(step, worker)) {
-            return NOT_PERMITTED;
-        }
-        if (candidate.onTrial() && !spec.lasting()) {
+        double headroom = spec.fills() ? candidate.predictHeadroom(spec) : Double.MAX_VALUE;
+        if (obstacle(step, candidate, headroom) != PlacementObstacle.NONE) {
             return NOT_PERMITTED;
         }
         double score = -candidate.free().milliCores();
         if (spec.fills()) {
-            double headroom = candidate.predictHeadroom(spec);
-            if (!canRunBestEffort(spec, candidate, headroom)) {
-                return NOT_PERMITTED;
-            }
             score = candidate.unusedMilliCores()
                     - (candidate.hasLatencyCriticalTasks() ? LAST_RESORT_PENALTY / 100 / (1 + headroom) : 0);
         }
@@ -169,11 +162,35 @@
         return penalty;
     }
 
-    private static boolean canRunBestEffort(StepSpec spec, PlacementCandidate candidate, double headroom) {
+    /** Returns what keeps the tasks of a step off a usable worker. */
+    PlacementObstacle obstacle(Step step, PlacementCandidate candidate) {
+        return obstacle(step, candidate, step.spec().fills() ? candidate.predictHeadroom(step.spec()) : 0);
+    }
+
+    private PlacementObstacle obstacle(Step step, PlacementCandidate candidate, double headroom) {
+        StepSpec spec = step.spec();
+        if (!spec.reserved().fitsInto(candidate.free())) {
+            return PlacementObstacle.CAPACITY;
+        }
+        if (!permits(step, candidate.worker())) {
+            return PlacementObstacle.NOT_PERMITTED;
+        }
+        if (candidate.onTrial() && !spec.lasting()) {
+            return PlacementObstacle.TRIAL;
+        }
+        return spec.fills() ? bestEffortObstacle(spec, candidate, headroom) : PlacementObstacle.NONE;
+    }
+
+    private static PlacementObstacle bestEffortObstacle(StepSpec spec, PlacementCandidate candidate, double headroom) {
         long neededMilliCores = Math.min(
                 spec.demand().milliCores(),
                 candidate.worker().entry().capacity().milliCores());
-        return candidate.unusedMilliCores() + candidate.idleLatencyCriticalMilliCores() >= neededMilliCores
-                && headroom >= ThrottleController.TARGET_HEADROOM + HEADROOM_RESERVE;
+        if (candidate.unusedMilliCores() + candidate.idleLatencyCriticalMilliCores() < neededMilliCores) {
+            return PlacementObstacle.PROCESSOR_TIME;
+        }
+        if (headroom >= ThrottleController.TARGET_HEADROOM + HEADROOM_RESERVE) {
+            return PlacementObstacle.NONE;
+        }
+        return headroom == 0 ? PlacementObstacle.UNKNOWN_INTERFERENCE : PlacementObstacle.HEADROOM;
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -57,6 +57,8 @@
 
     private final WaitingTaskLogger waitingTaskLogger;
 
+    private final WaitingShortTaskLogger waitingShortTaskLogger;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -100,6 +102,7 @@
                 rackWaits,
                 copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
+        this.waitingShortTaskLogger = new WaitingShortTaskLogger(placementPolicy);
         this.throttleController = new ThrottleController(orderSender, statistics.interference(), this::mayStop);
     }
 
@@ -190,6 +193,8 @@
         }
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
+        waitingShortTaskLogger.logIfDue(
+                jobs.all(), workerRegistry.workers(), placer::usable, context.timeOfDayMillis(), now);
         checkRuns(now);
         checkJobs(now);
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -297,6 +297,11 @@
         }
     }
 
+    /** Returns whether tasks may be placed on a worker now. */
+    boolean usable(WorkerState worker) {
+        return usable(worker, context.now());
+    }
+
     private boolean usable(WorkerState worker, Instant now) {
         return workerRegistry.usable(worker, now) && !health.quarantinedForAll(worker.id(), now);
     }
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLogger.java
@@ -0,0 +1,129 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import java.util.function.Predicate;
+import org.flamingopitch.scheduler.cell.model.QueueName;
+
+/**
+ * Logs short tasks that have waited for {@link #MIN_WAIT}: how many of each image, and for the one that waits longest
+ * how many workers each {@link PlacementObstacle} excludes.
+ */
+final class WaitingShortTaskLogger {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final Duration LOG_INTERVAL = Duration.ofSeconds(2);
+
+    private static final Duration MIN_WAIT = Duration.ofSeconds(1);
+
+    /** Bounds the log volume when many images wait. */
+    private static final int MAX_LINES = 3;
+
+    private final PlacementPolicy placementPolicy;
+
+    private Instant lastLoggedAt = Instant.MIN;
+
+    WaitingShortTaskLogger(PlacementPolicy placementPolicy) {
+        this.placementPolicy = placementPolicy;
+    }
+
+    /** Logs the images of which most tasks wait, if the interval has passed. */
+    void logIfDue(
+            Collection<Job> jobs,
+            Collection<WorkerState> workers,
+            Predicate<WorkerState> usable,
+            long timeOfDayMillis,
+            Instant now) {
+        if (now.isBefore(lastLoggedAt.plus(LOG_INTERVAL))) {
+            return;
+        }
+        lastLoggedAt = now;
+        Map<Kind, List<Task>> waiting = new HashMap<>();
+        for (Job job : jobs) {
+            if (job.open() && !job.spec().longRunning()) {
+                addWaiting(job, waiting, timeOfDayMillis, now);
+            }
+        }
+        if (waiting.isEmpty()) {
+            return;
+        }
+        List<Map.Entry<Kind, List<Task>>> kinds = new ArrayList<>(waiting.entrySet());
+        kinds.sort(Comparator.comparingInt(
+                        (Map.Entry<Kind, List<Task>> kind) -> -kind.getValue().size())
+                .thenComparing(kind -> kind.getKey().toString()));
+        PlacementPass pass = placementPolicy.startPass(workers, usable, now);
+        kinds.stream().limit(MAX_LINES).forEach(kind -> log(kind.getKey(), kind.getValue(), pass, workers, now));
+    }
+
+    private static void addWaiting(Job job, Map<Kind, List<Task>> waiting, long timeOfDayMillis, Instant now) {
+        for (List<Step> steps : job.occurrences()) {
+            for (Step step : steps) {
+                if (step.done() || !step.ready(timeOfDayMillis)) {
+                    continue;
+                }
+                Kind kind = new Kind(job.queue().name(), step.spec().imageName());
+                for (Task task : step.tasks()) {
+                    if (task.waiting(now) && !now.isBefore(task.waitingSince().plus(MIN_WAIT))) {
+                        waiting.computeIfAbsent(kind, key -> new ArrayList<>()).add(task);
+                    }
+                }
+            }
+        }
+    }
+
+    private void log(Kind kind, List<Task> tasks, PlacementPass pass, Collection<WorkerState> workers, Instant now) {
+        Task longest =
+                tasks.stream().min(Comparator.comparing(Task::waitingSince)).orElseThrow();
+        LOGGER.atInfo().log(
+                "event=short_tasks_wait queue=%s image=%s waiting=%d cores=%d task=%s waited_ms=%d %s",
+                kind.queue(),
+                kind.image(),
+                tasks.size(),
+                tasks.stream()
+                                .mapToLong(task -> task.step().spec().demand().milliCores())
+                                .sum()
+                        / 1_000,
+                longest.ref(),
+                Duration.between(longest.waitingSince(), now).toMillis(),
+                obstacles(longest, pass, workers, now));
+    }
+
+    /** Returns the number of workers that each obstacle excludes, as fields of a log line. */
+    private String obstacles(Task task, PlacementPass pass, Collection<WorkerState> workers, Instant now) {
+        Map<PlacementObstacle, Integer> counts = new EnumMap<>(PlacementObstacle.class);
+        int unusable = (int) workers.stream().filter(WorkerState::registered).count()
+                - pass.candidates().size();
+        counts.put(PlacementObstacle.UNUSABLE, unusable);
+        for (PlacementCandidate candidate : pass.candidates()) {
+            counts.merge(obstacle(task, candidate, now), 1, Integer::sum);
+        }
+        StringJoiner fields = new StringJoiner(" ");
+        counts.forEach((obstacle, count) -> fields.add(obstacle.label() + "=" + count));
+        return fields.toString();
+    }
+
+    private PlacementObstacle obstacle(Task task, PlacementCandidate candidate, Instant now) {
+        PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
+        Task reservedFor = candidate.worker().reservedFor(now);
+        boolean reserved = reservedFor != null && reservedFor != task || !candidate.admits(task);
+        return obstacle == PlacementObstacle.NONE && reserved ? PlacementObstacle.RESERVED : obstacle;
+    }
+
+    /**
+     * Tasks that are placed alike.
+     *
+     * @param queue the queue
+     * @param image the image
+     */
+    private record Kind(QueueName queue, String image) {}
+}
