Add feature gates that switch single decision mechanisms off

Cause: nothing showed what one mechanism is worth on a deployment, and no mechanism could be ruled out in a diagnosis without another build.

Conclusion: with all gates on, no decision changes.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -22,6 +22,7 @@
 import org.flamingopitch.scheduler.cell.entry.CellNode;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
@@ -86,6 +87,7 @@
      *
      * @param settings the platform's settings for this process
      * @param telemetry the settings of the metrics
+     * @param gates the decision mechanisms that are on
      * @param clock the monotonic clock, for delays and timeouts
      * @param timeOfDay the time of day, for the process id and the start times of timed jobs
      * @param onFailure receives the cause of a failure after which the process must end
@@ -93,17 +95,25 @@
     public CellHost(
             PlatformSettings settings,
             Telemetry telemetry,
+            FeatureGates gates,
             TimeSource clock,
             Clock timeOfDay,
             Consumer<String> onFailure) {
         this.clock = clock;
         metrics = new CellMetrics(telemetry.droppedLogLines());
+        metrics.recordGates(gates);
         metricsPort = telemetry.metricsPort();
         id = new ProcessId(settings.hostName() + "." + Long.toString(timeOfDay.millis(), Character.MAX_RADIX));
         platformClient = new HttpClient("platform-client", clock);
         StoreClient store = new StoreClient(platformClient, settings.store());
         context = new HostContext(
-                clock, timeOfDay, store, new WorkerClient(platformClient, clock), new WorkerDirectory(store), metrics);
+                clock,
+                timeOfDay,
+                store,
+                new WorkerClient(platformClient, clock),
+                new WorkerDirectory(store),
+                metrics,
+                gates);
         loop = new SingleWriterLoop<>(
                 "core",
                 EVENT_QUEUE_CAPACITY,
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -13,6 +13,8 @@
 import java.time.Duration;
 import java.util.function.LongSupplier;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
@@ -35,6 +37,12 @@
             .labelNames("request", "outcome")
             .register(registry);
 
+    private final Gauge featureGates = Gauge.builder()
+            .name("flamingopitch_feature_gate")
+            .help("1 for each decision mechanism that is on, 0 for one that was switched off.")
+            .labelNames("gate")
+            .register(registry);
+
     private final Histogram requestDuration = registerHistogram(
             "flamingopitch_request_duration_seconds", "Time from a caller's request to its answer.", "request");
 
@@ -139,6 +147,12 @@
         requestDuration.labelValues(request).observe(seconds(time));
     }
 
+    void recordGates(FeatureGates gates) {
+        for (FeatureGate gate : FeatureGate.values()) {
+            featureGates.labelValues(gate.label()).set(gates.on(gate) ? 1 : 0);
+        }
+    }
+
     void recordStoreCall(String operation, String outcome, Duration time) {
         storeCalls.labelValues(operation, outcome).inc();
         storeCallDuration.labelValues(operation).observe(seconds(time));
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -12,6 +12,7 @@
 import org.flamingopitch.platform.StoreClient;
 import org.flamingopitch.platform.WorkerClient;
 import org.flamingopitch.platform.WorkerDirectory;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
@@ -37,6 +38,8 @@
 
     private final CellMetrics metrics;
 
+    private final FeatureGates gates;
+
     private final TimerQueue timers = new TimerQueue();
 
     private SingleWriterLoop<Runnable> loop;
@@ -49,13 +52,15 @@
             StoreClient store,
             WorkerClient workers,
             WorkerDirectory directory,
-            CellMetrics metrics) {
+            CellMetrics metrics,
+            FeatureGates gates) {
         this.clock = clock;
         this.timeOfDay = timeOfDay;
         this.store = store;
         this.workers = workers;
         this.directory = directory;
         this.metrics = metrics;
+        this.gates = gates;
         this.now = clock.now();
     }
 
@@ -114,6 +119,11 @@
         directory.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
 
+    @Override
+    public FeatureGates gates() {
+        return gates;
+    }
+
     @Override
     public OwnerMetrics metrics() {
         return metrics;
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
@@ -16,6 +16,7 @@
 import org.flamingopitch.daemon.cell.CellHost;
 import org.flamingopitch.daemon.cell.Telemetry;
 import org.flamingopitch.platform.PlatformSettings;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.owner.CellTimings;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.transport.http.HostPort;
@@ -54,6 +55,7 @@
         CellHost host = new CellHost(
                 trainingSettings(),
                 new Telemetry(Telemetry.NO_PORT, () -> 0),
+                FeatureGates.ALL_ON,
                 new SystemTimeSourceClock(),
                 Clock.systemUTC(),
                 cause -> System.err.println("event=rehearsal_failed cause=\"" + cause + "\""));
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/FrontCommand.java
@@ -17,6 +17,7 @@
 import org.flamingopitch.daemon.log.BoundedLogHandler;
 import org.flamingopitch.daemon.log.KeyValueLogFormatter;
 import org.flamingopitch.platform.PlatformSettings;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import sun.misc.Signal;
 
 /** Runs a host of the scheduler on the users' platform until SIGTERM or a failure. */
@@ -39,6 +40,8 @@
 
     private static final String METRICS_PORT_OPTION = "metrics-port";
 
+    private static final String FEATURE_GATES_OPTION = "feature-gates";
+
     private static final String REHEARSE_OPTION = "rehearse";
 
     @Override
@@ -48,7 +51,7 @@
 
     @Override
     public String usage() {
-        return "[--settings FILE] [--metrics-port PORT] | --rehearse";
+        return "[--settings FILE] [--metrics-port PORT] [--feature-gates NAME=false,...] | --rehearse";
     }
 
     @Override
@@ -60,6 +63,13 @@
                         .argName("PORT")
                         .desc("port of the metrics page; default: metrics are not served")
                         .get())
+                .addOption(Option.builder()
+                        .longOpt(FEATURE_GATES_OPTION)
+                        .hasArg()
+                        .argName("NAME=false,...")
+                        .desc("decision mechanisms to switch off for a diagnosis; default: all are on. Names: "
+                                + FeatureGates.describe())
+                        .get())
                 .addOption(Option.builder()
                         .longOpt(REHEARSE_OPTION)
                         .desc("load the classes of a host and exit, to create a class data sharing archive")
@@ -83,21 +93,23 @@
             throw new UsageException(
                     "--settings or the environment variable " + PlatformSettings.PATH_VARIABLE + " is required");
         }
+        FeatureGates gates = featureGates(line);
         PlatformSettings settings = readSettings(path);
         AtomicBoolean failed = new AtomicBoolean();
         CountDownLatch ending = new CountDownLatch(1);
         BoundedLogHandler logHandler = KeyValueLogFormatter.installOnStandardOutput();
         Telemetry telemetry = new Telemetry(metricsPort(line), logHandler::droppedRecords);
-        CellHost host = new CellHost(settings, telemetry, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> {
-            failed.set(true);
-            ending.countDown();
-        });
+        CellHost host =
+                new CellHost(settings, telemetry, gates, new SystemTimeSourceClock(), Clock.systemUTC(), cause -> {
+                    failed.set(true);
+                    ending.countDown();
+                });
         host.start();
         SettingsReloader reloader = new SettingsReloader(Path.of(path), settings);
         Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reloader.reload());
         // A shutdown hook would run beside the runtime's own one, which closes the log.
         STOP_SIGNALS.forEach(name -> Signal.handle(new Signal(name), signal -> ending.countDown()));
-        LOGGER.atInfo().log("event=started process=%s callers=%s", host.id(), settings.callers());
+        LOGGER.atInfo().log("event=started process=%s callers=%s gates_off=%s", host.id(), settings.callers(), gates);
         ending.await();
         if (failed.get()) {
             logHandler.stop();
@@ -115,6 +127,15 @@
         }
     }
 
+    private static FeatureGates featureGates(CommandLine line) {
+        String text = line.getOptionValue(FEATURE_GATES_OPTION);
+        try {
+            return text == null ? FeatureGates.ALL_ON : FeatureGates.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new UsageException("--" + FEATURE_GATES_OPTION + ": " + e.getMessage());
+        }
+    }
+
     private static int metricsPort(CommandLine line) {
         String text = line.getOptionValue(METRICS_PORT_OPTION, Integer.toString(Telemetry.NO_PORT));
         try {
--- a/daemon/src/test/java/org/flamingopitch/daemon/cell/SampleValues.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cell/SampleValues.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.model.Payload;
 
 /** Builds one value of a type, with all components set, so that its encoded form shows every name. */
@@ -33,6 +34,7 @@
             Map.entry(byte[].class, new byte[] {1}),
             Map.entry(Instant.class, Instant.ofEpochSecond(1)),
             Map.entry(Duration.class, Duration.ofSeconds(1)),
+            Map.entry(FeatureGates.class, FeatureGates.ALL_ON),
             Map.entry(Payload.class, Payload.ofText("a")));
 
     private SampleValues() {}
--- a/daemon/src/test/java/org/flamingopitch/daemon/cli/MainTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cli/MainTest.java
@@ -50,6 +50,17 @@
         assertThat(result.errors).contains("line 2");
     }
 
+    @Test
+    void unknownFeatureGateIsAUsageErrorThatListsTheKnownOnes() {
+        CommandResult result =
+                run("front", "--settings", "no-such-file.json", "--feature-gates", "copies=false,copy=false");
+        assertThat(result.code).isEqualTo(ExitCode.USAGE);
+        assertThat(result.errors)
+                .contains("unknown feature gate \"copy\"")
+                .contains("copies")
+                .contains("admission");
+    }
+
     @Test
     void missingFileIsReportedByName() {
         CommandResult result = run("check", "--settings", "no-such-file.json");
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -11,9 +11,11 @@
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
+import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
 import org.flamingopitch.scheduler.cell.admission.RetryDelay;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -111,7 +113,7 @@
         this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
         Instant formerLeaseExpiry =
                 electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
-        this.statistics = new LearnedStatistics(electedAt);
+        this.statistics = new LearnedStatistics(electedAt, context.gates());
         this.runManager =
                 new RunManager(context, timings, fencingToken, jobs, statistics, this::stepDownAfterRejection);
         this.workerRegistry = new WorkerRegistry(
@@ -237,7 +239,7 @@
         workerRegistry.tick(mayAct());
         runManager.tick();
         commitLog.sendIfDue();
-        if (commitLog.outage().away(context.now())) {
+        if (storeAway()) {
             refuseUnsentJobs();
         }
     }
@@ -317,7 +319,7 @@
         } else if (unsupportedFeature.isPresent()) {
             String detail = unsupportedFeature.get();
             refuse(submit.id(), submit.queue(), AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, detail, answer);
-        } else if (commitLog.outage().away(context.now())) {
+        } else if (storeAway()) {
             refuseStoreAway(submit.id(), submit.queue(), answer);
         } else if (!mayAct()) {
             String detail = "the store does not answer";
@@ -331,17 +333,8 @@
         JobShares shares = statistics.jobShares();
         QueueName queue = submit.queue().name();
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
-        AdmissionDecision decision = AdmissionControl.decide(
-                submit.id(),
-                submit.spec(),
-                submit.queue(),
-                jobs.open(),
-                load.capacity(submit.queue(), submit.spec(), context.now()),
-                load.totalMilliCores(submit.queue()),
-                shares.share(queue, sizeClass),
-                shares.boost(queue, sizeClass),
-                statistics.estimates(),
-                context.now());
+        AdmissionDecision decision =
+                context.gates().on(FeatureGate.ADMISSION) ? decide(submit, sizeClass) : AdmissionPolicy.admit();
         recordDecision(submit, decision);
         if (!decision.admitted()) {
             shares.onRejected(submit.id(), queue, submit.spec(), sizeClass, context.now());
@@ -364,6 +357,22 @@
         answerWhenDurable(job, new JobAnswer.Accepted(), answer);
     }
 
+    private AdmissionDecision decide(JobRequest.Submit submit, SizeClass sizeClass) {
+        JobShares shares = statistics.jobShares();
+        QueueName queue = submit.queue().name();
+        return AdmissionControl.decide(
+                submit.id(),
+                submit.spec(),
+                submit.queue(),
+                jobs.open(),
+                load.capacity(submit.queue(), submit.spec(), context.now()),
+                load.totalMilliCores(submit.queue()),
+                shares.share(queue, sizeClass),
+                shares.boost(queue, sizeClass),
+                statistics.estimates(),
+                context.now());
+    }
+
     /** Counts a decision on a submission, and logs it if the job is rejected. */
     private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
         OwnerMetrics metrics = context.metrics();
@@ -422,6 +431,11 @@
         commitLog.write(job, true, pendingAnswers.add(job.id(), caller, answer));
     }
 
+    private boolean storeAway() {
+        return context.gates().on(FeatureGate.OUTAGE_REFUSALS)
+                && commitLog.outage().away(context.now());
+    }
+
     /** Refuses the jobs that wait behind an unanswered transaction: nothing of them has been sent to the store. */
     private void refuseUnsentJobs() {
         for (Job job : commitLog.withdrawUnsentJobs()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobQueueOrder.java
@@ -5,6 +5,8 @@
 import java.util.Comparator;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 
 /**
  * Orders jobs that wait for free capacity: long-running jobs first, because other parties depend on them; then by the
@@ -47,7 +49,14 @@
 
     private final ServiceShares shares;
 
+    private final FeatureGates gates;
+
     JobQueueOrder(DurationEstimates estimates, AverageJobWork averageWork, ServiceShares shares) {
+        this(estimates, averageWork, shares, FeatureGates.ALL_ON);
+    }
+
+    JobQueueOrder(DurationEstimates estimates, AverageJobWork averageWork, ServiceShares shares, FeatureGates gates) {
+        this.gates = gates;
         this.estimates = estimates;
         this.averageWork = averageWork;
         this.shares = shares;
@@ -73,12 +82,22 @@
     }
 
     private double valuePerWork(Job job, Instant now) {
+        if (!gates.on(FeatureGate.VALUE_ORDER)) {
+            return -job.submittedMillis();
+        }
         double value = value(totalWork(job), averageWork.of(job.queue().name()));
-        double weight =
-                job.started() ? STARTED_JOB_WEIGHT : shares.boost(job.queue().name(), job.sizeClass());
+        double weight = job.started() ? startedJobWeight() : shareBoost(job);
         return weight * timelinessFactor(job, now) * value / Math.max(1, remainingWork(job, estimates));
     }
 
+    private double startedJobWeight() {
+        return gates.on(FeatureGate.STARTED_JOB_WEIGHT) ? STARTED_JOB_WEIGHT : 1;
+    }
+
+    private double shareBoost(Job job) {
+        return gates.on(FeatureGate.SERVICE_SHARES) ? shares.boost(job.queue().name(), job.sizeClass()) : 1;
+    }
+
     private double timelinessFactor(Job job, Instant now) {
         Duration lateness = Duration.between(job.objective(), now.plusMillis(remainingMillis(job, estimates)));
         if (lateness.isNegative() || lateness.isZero()) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobShares.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobShares.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -31,9 +33,16 @@
         }
     };
 
+    private final boolean enabled;
+
     JobShares(ServiceShares shares, AverageJobWork averageWork) {
+        this(shares, averageWork, FeatureGates.ALL_ON);
+    }
+
+    JobShares(ServiceShares shares, AverageJobWork averageWork, FeatureGates gates) {
         this.shares = shares;
         this.averageWork = averageWork;
+        this.enabled = gates.on(FeatureGate.SERVICE_SHARES);
     }
 
     /** Returns the size class of a submitted job. */
@@ -44,12 +53,12 @@
 
     /** Returns the share that the jobs of a class were served, relative to all. */
     double share(QueueName queue, SizeClass sizeClass) {
-        return shares.share(queue, sizeClass);
+        return enabled ? shares.share(queue, sizeClass) : 1;
     }
 
     /** Returns the factor on the allowed time of a job's class. */
     double boost(QueueName queue, SizeClass sizeClass) {
-        return shares.boost(queue, sizeClass);
+        return enabled ? shares.boost(queue, sizeClass) : 1;
     }
 
     /** Counts a rejected job. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedStatistics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedStatistics.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /** What an owner has learned from the jobs and runs so far; most of it is stored for the next owner. */
@@ -15,11 +16,15 @@
 
     private final ServiceShares shares = new ServiceShares();
 
-    private final JobShares jobShares = new JobShares(shares, averageJobWork);
+    private final JobShares jobShares;
 
     private final CompletionRate bestEffortCompletionRate;
 
-    LearnedStatistics(Instant now) {
+    private final FeatureGates gates;
+
+    LearnedStatistics(Instant now, FeatureGates gates) {
+        this.gates = gates;
+        jobShares = new JobShares(shares, averageJobWork, gates);
         bestEffortCompletionRate = new CompletionRate(now);
     }
 
@@ -42,7 +47,7 @@
 
     /** Creates the order in which waiting jobs are placed. */
     JobQueueOrder queueOrder() {
-        return new JobQueueOrder(estimates, averageJobWork, shares);
+        return new JobQueueOrder(estimates, averageJobWork, shares, gates);
     }
 
     /** Takes note of a job that was admitted. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPolicy.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
@@ -48,7 +50,14 @@
 
     private final InterferenceEstimator interference;
 
+    private final FeatureGates gates;
+
     PlacementPolicy(WorkerHealth health, InterferenceEstimator interference) {
+        this(health, interference, FeatureGates.ALL_ON);
+    }
+
+    PlacementPolicy(WorkerHealth health, InterferenceEstimator interference, FeatureGates gates) {
+        this.gates = gates;
         this.health = health;
         this.interference = interference;
     }
@@ -89,6 +98,9 @@
 
     /** Returns whether at most {@link #RESERVED_WORKER_SHARE} of the workers are free of latency-critical tasks. */
     boolean reserveExhausted(List<PlacementCandidate> candidates) {
+        if (!gates.on(FeatureGate.RESERVED_WORKERS)) {
+            return false;
+        }
         long workersWithoutLatencyCritical = candidates.stream()
                 .filter(candidate -> !candidate.hasLatencyCriticalTasks())
                 .count();
@@ -108,7 +120,9 @@
                     - (candidate.hasLatencyCriticalTasks() ? LAST_RESORT_PENALTY / 100 / (1 + headroom) : 0);
         }
         if (spec.latencyCritical()) {
-            score += SAME_IMAGE_WEIGHT * candidate.colocationScore(spec.imageName());
+            score += gates.on(FeatureGate.IMAGE_GROUPING)
+                    ? SAME_IMAGE_WEIGHT * candidate.colocationScore(spec.imageName())
+                    : 0;
             score -= reserveExhausted && !candidate.hasLatencyCriticalTasks() ? 2 * SAME_IMAGE_WEIGHT : 0;
         }
         return score - penalty(step, candidate);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
@@ -46,6 +46,8 @@
 
     private final Map<RackKey, RackOutlook> outlooks = new HashMap<>();
 
+    private boolean enabled = true;
+
     private PlacementPass pass;
 
     private Instant now;
@@ -64,6 +66,11 @@
         this.waitRecorder = waitRecorder;
     }
 
+    /** Sets whether tasks wait for their rack; they do unless this is called. */
+    void setEnabled(boolean waitsForRacks) {
+        enabled = waitsForRacks;
+    }
+
     /** Begins a placement pass. */
     void startPass(PlacementPass newPass, Instant newNow) {
         pass = newPass;
@@ -159,7 +166,7 @@
         StepSpec spec = step.spec();
         boolean hasRack =
                 isGroup(step) ? step.groupRack() != null && !step.groupRack().lost() : spec.preferredRack() != null;
-        return farFactor > 1 && hasRack && !spec.lasting() && !spec.fills();
+        return enabled && farFactor > 1 && hasRack && !spec.lasting() && !spec.fills();
     }
 
     /** Returns whether the tasks of the step are slower on several racks; a single task cannot be spread. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.disruption.EvacuationLimit;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.locality.PlacementWait;
 import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
@@ -39,7 +40,7 @@
 
     private final ThrottleController throttleController;
 
-    private final WorkerHealth health = new WorkerHealth();
+    private final WorkerHealth health;
 
     private final CrashAttribution crashAttribution = new CrashAttribution();
 
@@ -84,11 +85,13 @@
         this.orderSender = new WorkerOrderSender(
                 context, fencingToken, EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()), this);
         DurationEstimates estimates = statistics.estimates();
-        this.placementPolicy = new PlacementPolicy(health, statistics.interference());
+        this.health = new WorkerHealth(context.gates());
+        this.placementPolicy = new PlacementPolicy(health, statistics.interference(), context.gates());
         BestEffortPreemption bestEffortPreemption =
                 new BestEffortPreemption(orderSender, placementPolicy, estimates, timings, context.metrics());
         this.rackWaits = new RackWaitPlanner(
                 timings.farFactor(), estimates, new PlacementWait(), context.metrics()::recordRackWait);
+        rackWaits.setEnabled(context.gates().on(FeatureGate.RACK_WAITS));
         this.copyPlanner = new CopyPlanner(context, jobs, estimates);
         this.placer = new TaskPlacer(
                 context,
@@ -103,7 +106,8 @@
                 copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.waitingShortTaskLogger = new WaitingShortTaskLogger(placementPolicy);
-        this.throttleController = new ThrottleController(orderSender, statistics.interference(), this::mayStop);
+        this.throttleController =
+                new ThrottleController(orderSender, statistics.interference(), this::mayStop, context.gates());
     }
 
     /**
@@ -115,7 +119,14 @@
         commitLog = newCommitLog;
         workerRegistry = newWorkerRegistry;
         mayAct = mayActNow;
-        runMover = new RunMover(context.metrics(), orderSender, newWorkerRegistry, statistics, health, placementPolicy);
+        runMover = new RunMover(
+                context.metrics(),
+                orderSender,
+                newWorkerRegistry,
+                statistics,
+                health,
+                placementPolicy,
+                context.gates());
         copyPlanner.enable(newWorkerRegistry);
         placer.enable(newCommitLog, newWorkerRegistry, mayActNow);
     }
@@ -188,7 +199,7 @@
             return;
         }
         lastTickAt = now;
-        if (copyPlanner.planIfDue(now)) {
+        if (context.gates().on(FeatureGate.COPIES) && copyPlanner.planIfDue(now)) {
             placer.requestPass();
         }
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunMover.java
@@ -10,6 +10,8 @@
 import org.flamingopitch.scheduler.cell.disruption.DisruptionBudget;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.disruption.StepAvailability;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
@@ -52,6 +54,8 @@
 
     private final PlacementPolicy placementPolicy;
 
+    private final FeatureGates gates;
+
     /** The steps whose tasks were counted in this tick, without those whose counts have changed since. */
     private final Map<Step, StepAvailability> availabilities = new HashMap<>();
 
@@ -72,7 +76,9 @@
             WorkerRegistry workerRegistry,
             LearnedStatistics statistics,
             WorkerHealth health,
-            PlacementPolicy placementPolicy) {
+            PlacementPolicy placementPolicy,
+            FeatureGates gates) {
+        this.gates = gates;
         this.metrics = metrics;
         this.orderSender = orderSender;
         this.workerRegistry = workerRegistry;
@@ -108,7 +114,9 @@
             }
             return;
         }
-        stopIfStalled(run, now);
+        if (gates.on(FeatureGate.STALL_DETECTION)) {
+            stopIfStalled(run, now);
+        }
     }
 
     /** Moves a long-running task if the budget of its step permits it, or if its worker ends it soon anyway. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.speculation.CopyCapacity;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
@@ -236,6 +237,9 @@
     }
 
     private void preemptBestEffortTasks(Step step, Instant now) {
+        if (!context.gates().on(FeatureGate.PREEMPTION)) {
+            return;
+        }
         bestEffortPreemption.makeRoom(step, workerRegistry.workers(), worker -> usable(worker, now), now);
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 
 /**
@@ -60,7 +62,14 @@
     /** Whether a long-running best-effort run may be stopped now. */
     private final Predicate<Run> mayStop;
 
-    ThrottleController(WorkerOrderSender orderSender, InterferenceEstimator interference, Predicate<Run> mayStop) {
+    private final FeatureGates gates;
+
+    ThrottleController(
+            WorkerOrderSender orderSender,
+            InterferenceEstimator interference,
+            Predicate<Run> mayStop,
+            FeatureGates gates) {
+        this.gates = gates;
         this.orderSender = orderSender;
         this.interference = interference;
         this.mayStop = mayStop;
@@ -141,6 +150,9 @@
     }
 
     private int highestLevel(Run bestEffort, Map<Run, Double> headrooms) {
+        if (!gates.on(FeatureGate.PREDICTIVE_THROTTLING)) {
+            return FULL_SPEED_PERCENT;
+        }
         for (int level : SPEED_LEVELS) {
             if (headrooms.entrySet().stream()
                     .allMatch(entry -> tolerates(entry.getKey(), entry.getValue(), bestEffort, level))) {
@@ -189,7 +201,8 @@
 
     /** Stops a run so that it is placed elsewhere, or pauses it while too many tasks of its step are down for a stop. */
     private void stopToMove(Run bestEffort) {
-        if (bestEffort.task().step().spec().lasting() && !mayStop.test(bestEffort)) {
+        boolean lastingAndNeeded = bestEffort.task().step().spec().lasting() && !mayStop.test(bestEffort);
+        if (lastingAndNeeded || !gates.on(FeatureGate.DISPLACEMENT)) {
             if (bestEffort.throttledToPercent() != 0) {
                 orderSender.throttle(bestEffort, 0);
             }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
@@ -6,6 +6,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.model.WorkerId;
 
@@ -30,6 +32,16 @@
 
     private final Map<WorkerId, WorkerHistory> histories = new HashMap<>();
 
+    private final boolean quarantines;
+
+    WorkerHealth() {
+        this(FeatureGates.ALL_ON);
+    }
+
+    WorkerHealth(FeatureGates gates) {
+        this.quarantines = gates.on(FeatureGate.QUARANTINE);
+    }
+
     /**
      * Records a run that succeeded.
      *
@@ -70,6 +82,9 @@
     void quarantine(WorkerId worker, Instant now) {
         WorkerHistory history = historyOf(worker);
         history.failedJobs.clear();
+        if (!quarantines) {
+            return;
+        }
         history.quarantinedAt = now;
         history.quarantinedUntil = now.plus(history.nextQuarantine);
         history.quarantinedForAllUntil = now.plus(INITIAL_QUARANTINE);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 
 /**
  * The services that a cell's owner uses inside the single-writer loop, in which one thread processes all events; every
@@ -33,6 +34,15 @@
      */
     void listWorkers(Consumer<WorkerListing> handler);
 
+    /**
+     * Returns which decision mechanisms are on.
+     *
+     * @return the gates; by default all are on
+     */
+    default FeatureGates gates() {
+        return FeatureGates.ALL_ON;
+    }
+
     /**
      * Returns the receiver of what is measured of the owner's decisions.
      *
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -21,9 +21,9 @@
 import org.flamingopitch.scheduler.cell.entry.CellNode;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.entry.OwnerClient;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
-import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
@@ -75,6 +75,8 @@
 
     private boolean storeConnectionsReset;
 
+    private FeatureGates gates = FeatureGates.ALL_ON;
+
     private int maxExtraLatencyMillis;
 
     private double farFactor = 1;
@@ -122,6 +124,11 @@
     }
 
     /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
+    /** Sets the gates of the hosts that are added after this call. */
+    void setGates(FeatureGates featureGates) {
+        gates = featureGates;
+    }
+
     void setFarFactor(double factor) {
         farFactor = factor;
     }
@@ -321,20 +328,7 @@
      * @return the specification
      */
     public static JobSpec job(int count, long milliCores, boolean longRunning) {
-        return new JobSpec("work", List.of(step(count, milliCores, longRunning, List.of())), 0, 0, 0);
-    }
-
-    /**
-     * Creates the specification of a step.
-     *
-     * @param count the number of tasks
-     * @param milliCores the processor time of each task in thousandths of a core
-     * @param longRunning whether the tasks run until their job is cancelled
-     * @param after the indexes of the steps that must be done before this one starts
-     * @return the specification
-     */
-    public static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after) {
-        return SampleSteps.step(count, milliCores, longRunning, after, 0);
+        return new JobSpec("work", List.of(SampleSteps.step(count, milliCores, longRunning, List.of())), 0, 0, 0);
     }
 
     /**
@@ -448,6 +442,11 @@
             });
         }
 
+        @Override
+        public FeatureGates gates() {
+            return gates;
+        }
+
         @Override
         public OwnerMetrics metrics() {
             return metrics;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSessionTest.java
@@ -60,7 +60,7 @@
     void jobRunsItsStepsInOrderAndEndsAsDone() {
         JobSpec spec = new JobSpec(
                 "work",
-                List.of(CellSession.step(3, 1_000, false, List.of()), CellSession.step(2, 1_000, false, List.of(0))),
+                List.of(SampleSteps.step(3, 1_000, false, List.of()), SampleSteps.step(2, 1_000, false, List.of(0))),
                 0,
                 0,
                 0);
@@ -425,7 +425,7 @@
 
     @Test
     void gangJobIsRefusedAndNeverRuns() {
-        StepSpec plain = CellSession.step(2, 1_000, false, List.of());
+        StepSpec plain = SampleSteps.step(2, 1_000, false, List.of());
         StepSpec gang = new StepSpecBuilder()
                 .count(2)
                 .demand(plain.demand())
@@ -465,7 +465,7 @@
                 .allMatch(reply -> reply instanceof CallerReply.Malformed);
         assertThat(submit("h1", "/elsewhere/" + JOB_ID, CellSession.job(1, 1, false)))
                 .containsExactly(new CallerReply.NoQueue());
-        JobSpec selfDependent = new JobSpec("work", List.of(CellSession.step(1, 1, false, List.of(0))), 0, 0, 0);
+        JobSpec selfDependent = new JobSpec("work", List.of(SampleSteps.step(1, 1, false, List.of(0))), 0, 0, 0);
         assertThat(submit("h1", JOB_PATH, selfDependent)).allMatch(reply -> reply instanceof CallerReply.Malformed);
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RackWaitTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RackWaitTest.java
@@ -93,7 +93,7 @@
     @Test
     void taskThatWaitsDoesNotBlockOthersOfItsKind() {
         fillRackAndLetATaskWait();
-        submit(THIRD, CellSession.step(1, 1_000, false, List.of()));
+        submit(THIRD, SampleSteps.step(1, 1_000, false, List.of()));
         session.advance(START_TIME);
         assertThat(runsOn(far, THIRD)).isEqualTo(1);
         assertThat(session.running(SECOND)).isEmpty();
@@ -146,7 +146,7 @@
         session.advance(Duration.ofSeconds(2));
         submit(FIRST, nearTask());
         session.advance(START_TIME);
-        submit(SECOND, CellSession.step(1, 1_000, false, List.of()));
+        submit(SECOND, SampleSteps.step(1, 1_000, false, List.of()));
         session.advance(START_TIME);
         assertThat(runsOn(far, SECOND)).isEqualTo(1);
     }
@@ -168,7 +168,7 @@
 
     @Test
     void restOfAGroupWaitsForItsRackIfThatIsSoonFree() {
-        submit(FIRST, CellSession.step(8, 1_000, false, List.of()));
+        submit(FIRST, SampleSteps.step(8, 1_000, false, List.of()));
         session.advance(Duration.ofMillis(500));
         assertThat(runsOn(far, FIRST) + runsOn(near, FIRST)).isEqualTo(8);
         far.running().stream().limit(2).forEach(task -> far.end(task, EndKind.DONE));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/SampleSteps.java
@@ -14,6 +14,10 @@
 
     private SampleSteps() {}
 
+    static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after) {
+        return step(count, milliCores, longRunning, after, 0);
+    }
+
     static StepSpec step(int count, long milliCores, boolean longRunning, List<Integer> after, int maxUnavailable) {
         return create(count, milliCores, longRunning, after, false, null, null, 0, false, maxUnavailable);
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -175,7 +175,7 @@
         runAloneOnOneWorker(OTHER_JOB_ID);
         session.removeWorker(session.worker("w1").running().isEmpty() ? "w1" : "w2");
         session.advance(Duration.ofSeconds(4));
-        StepSpec plain = CellSession.step(1, 4_000, true, List.of());
+        StepSpec plain = SampleSteps.step(1, 4_000, true, List.of());
         StepSpec bestEffort = new StepSpecBuilder()
                 .demand(plain.demand())
                 .estimateMillis(plain.estimateMillis())
@@ -203,7 +203,7 @@
     }
 
     private static StepSpec limitedStep(int count, long milliCores) {
-        StepSpec plain = CellSession.step(count, milliCores, true, List.of());
+        StepSpec plain = SampleSteps.step(count, milliCores, true, List.of());
         return new StepSpecBuilder()
                 .count(count)
                 .demand(plain.demand())
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/feature/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the feature gates. */
+package org.flamingopitch.scheduler.cell.feature;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -177,7 +177,8 @@
         }
     }
 
-    private static final class RecordingListener implements RunListener {
+    /** Records the runs whose start was refused. */
+    static final class RecordingListener implements RunListener {
 
         private final List<Run> refused = new ArrayList<>();
 
