Share the log recorder and the sample queues of tests

Change: RecordedLog and SampleQueues serve the tests that had their own; a constant in WaitingShortTaskLogger has a name.

Conclusion: no check changes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLogger.java
@@ -26,6 +26,8 @@
 
     private static final Duration MIN_WAIT = Duration.ofSeconds(1);
 
+    private static final int MILLICORES_PER_CORE = 1_000;
+
     /** Bounds the log volume when many images wait. */
     private static final int MAX_LINES = 3;
 
@@ -92,7 +94,7 @@
                 tasks.stream()
                                 .mapToLong(task -> task.step().spec().demand().milliCores())
                                 .sum()
-                        / 1_000,
+                        / MILLICORES_PER_CORE,
                 longest.ref(),
                 Duration.between(longest.waitingSince(), now).toMillis(),
                 obstacles(longest, pass, workers, now));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/BestEffortPreemptionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/BestEffortPreemptionTest.java
@@ -7,9 +7,6 @@
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
-import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.model.QueueSpec;
-import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
@@ -33,23 +30,14 @@
         session.addWorker("w1", 4_000);
         session.addWorker("w2", 4_000);
         session.addHost("h1");
-        session.configure(
-                new CellConfiguration(2, List.of(queue("urgent", 0), queue("normal", 1), queue("batch", 2)), 100_000));
-        session.advance(Duration.ofSeconds(3));
-    }
-
-    private static QueueSpec queue(String name, int priority) {
-        return new QueueSpec(
-                new QueueName(name),
-                "callers.example",
-                "/" + name + "/",
-                new ServiceName("pool"),
-                priority,
-                3,
+        session.configure(new CellConfiguration(
                 2,
-                60_000,
-                3_000,
-                false);
+                List.of(
+                        SampleQueues.queue("urgent", 0),
+                        SampleQueues.queue("normal", 1),
+                        SampleQueues.queue("batch", 2)),
+                100_000));
+        session.advance(Duration.ofSeconds(3));
     }
 
     private static JobSpec job(int count, long milliCores, long memory, long estimateMillis, boolean bestEffort) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FeatureGateSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FeatureGateSessionTest.java
@@ -10,9 +10,6 @@
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
-import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.model.QueueSpec;
-import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.model.Resources;
@@ -95,7 +92,8 @@
     void bestEffortTaskIsPreemptedForAnUrgentOne(boolean on) {
         session.addWorker("w1", 4_000);
         start(FeatureGate.PREEMPTION, on);
-        session.configure(new CellConfiguration(2, List.of(queue("urgent", 0), queue("batch", 2)), 100_000));
+        session.configure(new CellConfiguration(
+                2, List.of(SampleQueues.queue("urgent", 0), SampleQueues.queue("batch", 2)), 100_000));
         session.advance(Duration.ofMillis(100));
         StepSpec batch = step(2, 500, 30_000)
                 .demand(new Resources(500, 49_000, 0))
@@ -110,20 +108,6 @@
         assertThat(session.running(OTHER_ID)).hasSize(on ? 1 : 0);
     }
 
-    private static QueueSpec queue(String name, int priority) {
-        return new QueueSpec(
-                new QueueName(name),
-                "callers.example",
-                "/" + name + "/",
-                new ServiceName("pool"),
-                priority,
-                3,
-                2,
-                60_000,
-                3_000,
-                false);
-    }
-
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void taskWaitsForItsRack(boolean on) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLoggerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLoggerTest.java
@@ -4,19 +4,13 @@
 
 import java.time.Instant;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
+import org.flamingopitch.scheduler.cell.RecordedLog;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Without these lines nobody can tell why best-effort tasks wait beside workers that are free. */
 final class WaitingShortTaskLoggerTest {
 
-    private static final Logger TARGET = Logger.getLogger(WaitingShortTaskLogger.class.getName());
-
     private static final Instant LATER = OwnerFixtures.NOW.plusSeconds(3);
 
     private final InterferenceEstimator interference = new InterferenceEstimator();
@@ -24,29 +18,11 @@
     private final WaitingShortTaskLogger logger =
             new WaitingShortTaskLogger(new PlacementPolicy(new WorkerHealth(), interference));
 
-    private final List<String> lines = new CopyOnWriteArrayList<>();
-
-    private final Handler recorder = new Handler() {
-        @Override
-        public void publish(LogRecord record) {
-            lines.add(record.getMessage());
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void close() {}
-    };
-
-    @BeforeEach
-    void record() {
-        TARGET.addHandler(recorder);
-    }
+    private final RecordedLog log = new RecordedLog(WaitingShortTaskLogger.class);
 
     @AfterEach
     void stopRecording() {
-        TARGET.removeHandler(recorder);
+        log.close();
     }
 
     private void log(Instant now, Job... jobs) {
@@ -67,7 +43,7 @@
     @Test
     void lineCountsTheWorkersThatEachTestExcludes() {
         log(LATER, heavyJob());
-        assertThat(lines)
+        assertThat(log.lines())
                 .singleElement()
                 .asString()
                 .contains("queue=q image=heavy waiting=2 cores=4 task=j.0.0.0 waited_ms=3000")
@@ -77,7 +53,7 @@
     @Test
     void tasksThatHaveWaitedOnlyShortlyAreNotLogged() {
         log(OwnerFixtures.NOW.plusMillis(900), heavyJob());
-        assertThat(lines).isEmpty();
+        assertThat(log.lines()).isEmpty();
     }
 
     @Test
@@ -89,6 +65,6 @@
         }
         log(LATER, jobs);
         log(LATER.plusSeconds(1), jobs);
-        assertThat(lines).hasSize(3);
+        assertThat(log.lines()).hasSize(3);
     }
 }
