--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -18,7 +18,7 @@
 
 /**
  * A worker of the platform. A task runs for as long as the number at the end of its spec says, in milliseconds; 0 means
- * that it runs until it is stopped.
+ * that it runs until it is stopped, and a negative number that it fails after that time.
  */
 final class Worker {
 
@@ -197,6 +197,8 @@
                 end(run, "stopped");
             } else if (run.workMillis > 0 && now - run.startNanos >= run.workMillis * 1_000_000) {
                 end(run, "done");
+            } else if (run.workMillis < 0 && now - run.startNanos >= -run.workMillis * 1_000_000) {
+                end(run, "failed");
             }
         }
     }
@@ -317,7 +319,7 @@
         ObjectNode answer = answer().put("born", born);
         ArrayNode rows = answer.putArray("running");
         for (Run run : running.values()) {
-            double done = run.workMillis == 0 ? 100 : (System.nanoTime() - run.startNanos) / 1e4 / run.workMillis;
+            double done = run.workMillis <= 0 ? 100 : (System.nanoTime() - run.startNanos) / 1e4 / run.workMillis;
             rows.addArray().add(run.task).add(run.number).add("").add((int) Math.min(99, done)).add(10);
         }
         ArrayNode ends = answer.putArray("ended");
