--- a/review/standins/CrashedWorkers.java
+++ b/review/standins/CrashedWorkers.java
@@ -3,16 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Workers crash one after the other, each while it runs a task of the same job. */
+/** Workers crash one after the other, each while it runs the same long-running task. */
 final class CrashedWorkers extends Case {
 
     private static final String JOB = "5c0e7a21d94b36f8";
 
+    private static final String TASK = JOB + ".0.0.0";
+
     private static final int CRASHES = 3;
 
     private static final long DOWN_MILLIS = 1_000;
 
-    private static final long WORK_MILLIS = 2_200;
+    private static final long CALM_MILLIS = 15_000;
+
+    private static final long LATEST_MILLIS = 9_000;
 
     public static void main(String[] arguments) {
         run(new CrashedWorkers(), arguments);
@@ -21,8 +25,8 @@
     @Override
     List<String> play(Record record, boolean trouble) throws Exception {
         try (Deployment deployment = new Deployment(record, 3, 8)) {
-            String body = "{\"spec\":\"work " + WORK_MILLIS + "\",\"steps\":[{\"count\":1,\"cpu\":1800,\"memMb\":3200,\"estimatedMs\":"
-                    + WORK_MILLIS + "}]}";
+            String body = "{\"spec\":\"work 0\",\"steps\":[{\"count\":1,\"cpu\":3200,\"memMb\":6400,\"estimatedMs\":500,"
+                    + "\"longRunning\":true}]}";
             if (!deployment.submit(JOB, body, 0, 10_000)) {
                 throw new IllegalStateException("the job was not accepted");
             }
@@ -35,13 +39,25 @@
                 worker.start();
             }
             List<String> broken = new ArrayList<>();
-            String state = "";
-            for (int i = 0; i < 30 && !state.contains("done") && broken.isEmpty(); i++) {
-                Thread.sleep(500);
-                Http.Answer answer = deployment.send(i % 3, "GET", JOB, "");
-                state = answer.body();
-                if (answer.status() == 200 && state.contains("failed") && deployment.ledger().count("failed") == 0) {
-                    broken.add("job " + JOB + " is shown as failed; none of its runs has ended failed");
+            long calmSince = record.now();
+            long runsAt = calmSince;
+            while (record.now() < calmSince + CALM_MILLIS) {
+                if (deployment.workers().stream().anyMatch(worker -> worker.runs(TASK))) {
+                    runsAt = record.now();
+                }
+                Thread.sleep(20);
+            }
+            // LOST: 3 s without a run, from 6 s after the last one, after 4 calm seconds.
+            if (record.now() - runsAt > LATEST_MILLIS) {
+                broken.add("the long-running task " + TASK + " has not run for " + (record.now() - runsAt)
+                        + " ms, with 8 workers idle");
+            }
+            for (int host = 0; host < deployment.hostCount(); host++) {
+                Http.Answer answer = deployment.send(host, "GET", JOB, "");
+                boolean ended = answer.body().contains("failed") || answer.body().contains("cancelled");
+                if (answer.status() == 200 && ended && deployment.ledger().count("failed") == 0) {
+                    broken.add("job " + JOB + " is shown as " + answer.body() + "; none of its runs has ended failed, "
+                            + "and nobody has cancelled it");
                 }
             }
             return broken;
@@ -52,7 +68,7 @@
         long until = record.now() + 15_000;
         while (record.now() < until) {
             for (Worker worker : deployment.workers()) {
-                if (worker.up() && worker.runs(JOB + ".0.0.0")) {
+                if (worker.up() && worker.runs(TASK)) {
                     return worker;
                 }
             }
--- a/review/standins/ManyEnds.java
+++ b/review/standins/ManyEnds.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** More than 500 tasks end on one worker while the owner of the cell is replaced. */
+/** More than 500 tasks end on one worker while the owner of the cell is replaced, or while the store is down. */
 final class ManyEnds extends Case {
 
     private static final int JOBS = 28;
@@ -13,6 +13,8 @@
 
     private static final long DOWN_MILLIS = 3_500;
 
+    private static final long OUTAGE_MILLIS = 4_500;
+
     public static void main(String[] arguments) {
         run(new ManyEnds(), arguments);
     }
@@ -30,7 +32,9 @@
                 Thread.sleep(40);
             }
             waitForStarts(deployment, JOBS * WIDTH, record);
-            if (trouble) {
+            if (trouble && "outage".equals(System.getenv("VARIANT"))) {
+                refuseAll(deployment, record);
+            } else if (trouble) {
                 int leader = deployment.store().lastConditionalWriter();
                 record.line("disruption: host %d, which last wrote under a condition, is killed for %d ms", leader, DOWN_MILLIS);
                 deployment.kill(leader, DOWN_MILLIS);
@@ -46,6 +50,20 @@
         }
     }
 
+    private static void refuseAll(Deployment deployment, Record record) throws InterruptedException {
+        record.line("disruption: the store answers 503 to all hosts for %d ms", OUTAGE_MILLIS);
+        setRefused(deployment, true);
+        Thread.sleep(OUTAGE_MILLIS);
+        setRefused(deployment, false);
+        record.line("the disruption is over");
+    }
+
+    private static void setRefused(Deployment deployment, boolean value) {
+        for (int host = 0; host < deployment.hostCount(); host++) {
+            deployment.store().refuse(host, value);
+        }
+    }
+
     private static String id(int job) {
         return String.format("5c0e7a21d94b%04x", job);
     }
