--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -204,6 +204,13 @@
         return false;
     }
 
+    /** Freezes a host, as by SIGSTOP, or lets it go on. */
+    void freeze(int host, boolean value) throws IOException, InterruptedException {
+        String signal = value ? "-STOP" : "-CONT";
+        new ProcessBuilder("kill", signal, Long.toString(hosts.get(host).process.pid())).start().waitFor();
+        record.line("host %d: %s", host, value ? "frozen" : "goes on");
+    }
+
     /** Kills a host, as by SIGKILL, and starts it again after a time. */
     void kill(int host, long downMillis) {
         hosts.get(host).kill();
--- a/review/standins/StaleOwner.java
+++ b/review/standins/StaleOwner.java
@@ -1,5 +1,6 @@
 package review;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -14,6 +15,16 @@
 
     private static final long FIRST_STEP_MILLIS = 11_000;
 
+    private static final long FROZEN_MILLIS = 4_000;
+
+    private static void goOn(Deployment deployment, int host, Record record) {
+        try {
+            deployment.freeze(host, false);
+        } catch (IOException | InterruptedException e) {
+            record.line("host %d: does not go on: %s", host, e);
+        }
+    }
+
     public static void main(String[] arguments) {
         run(new StaleOwner(), arguments);
     }
@@ -24,7 +35,11 @@
             int leader = deployment.store().lastConditionalWriter();
             int other = (leader + 1) % deployment.hostCount();
             long begin = record.now();
-            if (trouble) {
+            if (trouble && "freeze".equals(System.getenv("VARIANT"))) {
+                record.line("disruption: host %d, which last wrote under a condition, is frozen for %d ms", leader, FROZEN_MILLIS);
+                deployment.freeze(leader, true);
+                Daemons.after(FROZEN_MILLIS, () -> goOn(deployment, leader, record));
+            } else if (trouble) {
                 record.line("disruption: for %d ms the store answers 503 to host %d, which last wrote under a condition",
                         REFUSED_MILLIS, leader);
                 deployment.store().refuse(leader, true);
