--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -41,6 +41,8 @@
 
     private static final int WORKERS_A_RACK = 8;
 
+    private static final double WIDE_LINK_MEGABITS = 1_000;
+
     private final Record record;
 
     private final Ledger ledger;
@@ -49,6 +51,8 @@
 
     private final Path folder;
 
+    private final double linkMegabits;
+
     private final List<Host> hosts = new ArrayList<>();
 
     private final List<Worker> workers = new ArrayList<>();
@@ -56,7 +60,13 @@
     private boolean closed;
 
     Deployment(Record record, int hostCount, int workerCount) throws IOException, InterruptedException {
+        this(record, hostCount, workerCount, WIDE_LINK_MEGABITS);
+    }
+
+    Deployment(Record record, int hostCount, int workerCount, double linkMegabits)
+            throws IOException, InterruptedException {
         this.record = record;
+        this.linkMegabits = linkMegabits;
         this.ledger = new Ledger(record);
         this.store = new Store(1_048_576, record);
         this.folder = Files.createTempDirectory("review");
@@ -82,6 +92,9 @@
         String subnet = subnet(hostCount);
         for (int i = 0; i < hostCount; i++) {
             hosts.add(new Host(i, subnet + (11 + i), store.open(i)));
+            if (linkMegabits < WIDE_LINK_MEGABITS) {
+                store.limit(i, linkMegabits);
+            }
         }
         for (Host host : hosts) {
             host.start();
@@ -277,6 +290,7 @@
             listen.put("front", ip + ":" + front.getPort());
             listen.put("ready", ip + ":" + ready.getPort());
             all.putArray("internalPorts").add(peerPort).add(peerPort);
+            ((ObjectNode) all.get("limits")).put("linkMbps", linkMegabits);
             ((ObjectNode) all.get("platform")).put("address", "127.0.0.1:" + storePort);
             return all;
         }
--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -30,11 +30,20 @@
     }
 
     static void answer(HttpExchange exchange, int status, JsonNode body) throws IOException {
+        answer(exchange, status, body, null);
+    }
+
+    /** Answers over a link, if there is one. */
+    static void answer(HttpExchange exchange, int status, JsonNode body, Link link) throws IOException {
         byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.sendResponseHeaders(status, bytes.length);
         try (OutputStream out = exchange.getResponseBody()) {
-            out.write(bytes);
+            if (link == null) {
+                out.write(bytes);
+            } else {
+                link.send(bytes, out);
+            }
         }
     }
 
--- a/review/standins/Ledger.java
+++ b/review/standins/Ledger.java
@@ -20,7 +20,8 @@
 
     synchronized void started(String task, int run, String worker, String spec) {
         add(task, run, "start", worker);
-        record.line("run: start %s run %d on %s (%s)", task, run, worker, spec);
+        record.line("run: start %s run %d on %s (%s)", task, run, worker,
+                spec.length() > 40 ? spec.substring(spec.length() - 20) : spec);
     }
 
     synchronized void ended(String task, int run, String how, String worker) {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -20,8 +20,8 @@
 import java.util.concurrent.Executors;
 
 /**
- * The platform's metadata store. Each host of the system reaches it at an address of its own, so that the store can
- * refuse single hosts.
+ * The platform's metadata store. Each host of the system reaches it at an address of its own, over a link of its own, so
+ * that the store can refuse single hosts and links can be narrow.
  */
 final class Store {
 
@@ -47,6 +47,8 @@
 
     private final Map<Integer, Boolean> refused = new HashMap<>();
 
+    private final Map<Integer, Link> links = new HashMap<>();
+
     private long revision = 100;
 
     private long lastLease = 70_000;
@@ -77,6 +79,23 @@
         notifyAll();
     }
 
+    /** Limits the rate of the answers to one host; all answers to it share the link. */
+    synchronized void limit(int host, double megabitsPerSecond) {
+        links.put(host, new Link(megabitsPerSecond));
+    }
+
+    private void answer(int host, HttpExchange exchange, int status, ObjectNode body) throws IOException {
+        Link link;
+        synchronized (this) {
+            link = links.get(host);
+        }
+        if (link == null) {
+            Http.answer(exchange, status, body);
+        } else {
+            Http.answer(exchange, status, body, link);
+        }
+    }
+
     /** Returns the host that last wrote under a condition. */
     synchronized int lastConditionalWriter() {
         return lastConditionalWriter;
@@ -111,9 +130,9 @@
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
         if (path.equals("/kv-key")) {
-            getKey(exchange, query.get("key"));
+            getKey(host, exchange, query.get("key"));
         } else if (path.equals("/kv-range")) {
-            getRange(exchange, query.getOrDefault("prefix", ""), query.getOrDefault("after", ""));
+            getRange(host, exchange, query.getOrDefault("prefix", ""), query.getOrDefault("after", ""));
         } else if (path.equals("/kv-watch")) {
             watch(host, exchange, query);
         } else if (path.equals("/kv-txn")) {
@@ -140,16 +159,16 @@
         return values;
     }
 
-    private void getKey(HttpExchange exchange, String key) throws IOException {
+    private void getKey(int host, HttpExchange exchange, String key) throws IOException {
         ObjectNode answer;
         synchronized (this) {
             Item item = items.get(key);
             answer = item == null ? null : item.toJson().put("asOf", revision);
         }
-        Http.answer(exchange, answer == null ? 404 : 200, answer == null ? Json.object() : answer);
+        answer(host, exchange, answer == null ? 404 : 200, answer == null ? Json.object() : answer);
     }
 
-    private void getRange(HttpExchange exchange, String prefix, String after) throws IOException {
+    private void getRange(int host, HttpExchange exchange, String prefix, String after) throws IOException {
         ObjectNode answer = Json.object();
         synchronized (this) {
             ArrayNode page = answer.putArray("items");
@@ -171,7 +190,7 @@
             }
             answer.put("hasMore", hasMore).put("asOf", revision);
         }
-        Http.answer(exchange, 200, answer);
+        answer(host, exchange, 200, answer);
     }
 
     private void watch(int host, HttpExchange exchange, Map<String, String> query)
@@ -198,7 +217,7 @@
             }
             answer.put("asOf", revision);
         }
-        Http.answer(exchange, cut ? 503 : 200, cut ? Json.object() : answer);
+        answer(host, exchange, cut ? 503 : 200, cut ? Json.object() : answer);
     }
 
     private void transact(int host, HttpExchange exchange, JsonNode body) throws IOException {
