--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -296,7 +296,7 @@
         }
 
         private synchronized void start() throws IOException {
-            if (closed) {
+            if (closed || process != null && process.isAlive()) {
                 return;
             }
             Matcher run = Pattern.compile("(?m)^run = \"([^\"]*)\"").matcher(Files.readString(Path.of("deploy/system.toml")));
