Do not take a run for gone if the report may lack its end

A worker lists 500 ends per report; WorkerPoller treated a run that was in neither list as gone, also if the list of ends was full, and had it started again. The 396 tasks that ran twice are exactly those of the 501st to the 896th end. Ruled out by the record of the run: repeated or late orders (each run was started once), an expired lease (896 ends done, none lapsed), an early acknowledgement (the first report after the takeover listed 500 of 896 ends).

An incomplete report ends no run that it does not list, on any path (missing, stopped, possibly executed late, former incarnation).

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -204,20 +204,14 @@
             }
             applyEnd(end);
         }
-        List<Run> endedWithFormerIncarnation = worker.runs().stream()
-                .filter(run -> !reportedRuns.contains(run) && startedOnFormerIncarnation(run, report.life()))
-                .toList();
-        for (Run run : List.copyOf(worker.runs())) {
-            boolean outcomeKnownBeforeCall = run.orderOutcomeKnownAt() != null
-                    && run.orderOutcomeKnownAt().isBefore(sentAt);
-            if (!outcomeKnownBeforeCall || reportedRuns.contains(run)) {
-                continue;
-            }
-            if (run.startMayBeExecutedLate()) {
-                listener.onRunMissing(run);
-            } else {
-                listener.onRunTerminated(run, restarted ? "worker restarted" : "not in the worker's report");
-            }
+        List<Run> endedWithFormerIncarnation = List.of();
+        if (report.allEndsListed()) {
+            endedWithFormerIncarnation = endMissingRuns(report.life(), restarted, reportedRuns, sentAt);
+        } else {
+            // It is unknown whether a run that is not listed has ended, and how.
+            LOGGER.atInfo().log(
+                    "event=report_incomplete worker=%s ends=%d",
+                    worker.id(), report.ended().size());
         }
         if (restarted || !endedWithFormerIncarnation.isEmpty()) {
             listener.onWorkerCrashed(worker, endedWithFormerIncarnation);
@@ -235,6 +229,30 @@
         reportHandler.accept(worker, sentAt);
     }
 
+    /**
+     * Ends the runs that a complete report does not list.
+     *
+     * @return those that ended because the worker's incarnation in which they were started has ended
+     */
+    private List<Run> endMissingRuns(long incarnation, boolean restarted, Set<Run> reportedRuns, Instant sentAt) {
+        List<Run> endedWithFormerIncarnation = worker.runs().stream()
+                .filter(run -> !reportedRuns.contains(run) && startedOnFormerIncarnation(run, incarnation))
+                .toList();
+        for (Run run : List.copyOf(worker.runs())) {
+            boolean outcomeKnownBeforeCall = run.orderOutcomeKnownAt() != null
+                    && run.orderOutcomeKnownAt().isBefore(sentAt);
+            if (!outcomeKnownBeforeCall || reportedRuns.contains(run)) {
+                continue;
+            }
+            if (run.startMayBeExecutedLate()) {
+                listener.onRunMissing(run);
+            } else {
+                listener.onRunTerminated(run, restarted ? "worker restarted" : "not in the worker's report");
+            }
+        }
+        return endedWithFormerIncarnation;
+    }
+
     /** Returns whether a run was ordered from another incarnation than the present one. */
     private static boolean startedOnFormerIncarnation(Run run, long incarnation) {
         boolean firstOrderInFlight = (run.startInFlight() || run.stopInFlight()) && run.unansweredOrders() == 0;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/WorkerAnswer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/WorkerAnswer.java
@@ -21,9 +21,11 @@
      * @param life the worker's incarnation, identified by its start in milliseconds since the epoch
      * @param clockMillis the time on the worker's clock, in milliseconds
      * @param running the runs in progress
-     * @param ended the unacknowledged ends
+     * @param ended the unacknowledged ends, the oldest first
+     * @param allEndsListed whether there are no further ends, which the worker reports once these are acknowledged
      */
-    record Report(long life, long clockMillis, List<RunReport> running, List<RunEnd> ended) implements WorkerAnswer {}
+    record Report(long life, long clockMillis, List<RunReport> running, List<RunEnd> ended, boolean allEndsListed)
+            implements WorkerAnswer {}
 
     /**
      * The worker rejected the order and did not carry it out.
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -51,6 +51,8 @@
 
     private long leaseEndMillis;
 
+    private int maxEndsPerReport = Integer.MAX_VALUE;
+
     private boolean unresponsive;
 
     private boolean startsLost;
@@ -159,6 +161,15 @@
         return address;
     }
 
+    /**
+     * Sets how many ends a report lists; the next ones are listed once these are acknowledged.
+     *
+     * @param limit the number of ends
+     */
+    public void setMaxEndsPerReport(int limit) {
+        maxEndsPerReport = limit;
+    }
+
     /**
      * Sets whether all orders are lost, without effect or answer. Started runs continue until the worker's lease ends.
      *
@@ -413,7 +424,8 @@
                             percent(each.getKey(), each.getValue(), clockMillis),
                             1))
                     .toList();
-            return new WorkerAnswer.Report(incarnation, clockMillis, reports, List.copyOf(ended));
+            List<RunEnd> page = List.copyOf(ended.subList(0, Math.min(ended.size(), maxEndsPerReport)));
+            return new WorkerAnswer.Report(incarnation, clockMillis, reports, page, page.size() == ended.size());
         }
         return new WorkerAnswer.Done(clockMillis);
     }
