Store the progress of a job in parts of bounded size

One job of 9,999 tasks had a progress record of 1,072,513 bytes; the store accepts 1,048,576 and refused the transaction, and one transaction is in flight at a time. Ruled out by the record of the run: lack of capacity, an outage, an election (220 refusals of that key, nothing else).

Change: the progress of a job is stored in parts of 64 tasks; a change of one task writes its part only. Records of earlier versions are read, and split before they are replaced.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
@@ -20,9 +20,12 @@
     /** The prefix of the keys of submitted jobs, each a {@link JobRecord}. */
     public static final String JOB_PREFIX = "flamingopitch/job/";
 
-    /** The prefix of the keys of the jobs' progress, each a {@link ProgressRecord}. */
+    /** The prefix of the keys of the jobs' progress, each a {@link ProgressRecord}, one or more per job. */
     public static final String PROGRESS_PREFIX = "flamingopitch/progress/";
 
+    /** Separates the job from the part in the key of a part of its progress. */
+    static final char PART_SEPARATOR = '/';
+
     private CellKeys() {}
 
     /**
@@ -36,7 +39,7 @@
     }
 
     /**
-     * Returns the key of a job's progress.
+     * Returns the key of the first part of a job's progress.
      *
      * @param id the job
      * @return the key
@@ -44,4 +47,15 @@
     public static String progress(JobId id) {
         return PROGRESS_PREFIX + id;
     }
+
+    /**
+     * Returns the key of a part of a job's progress.
+     *
+     * @param id the job
+     * @param part the part, from 0
+     * @return the key
+     */
+    static String progress(JobId id, int part) {
+        return part == 0 ? progress(id) : PROGRESS_PREFIX + id + PART_SEPARATOR + part;
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -288,12 +288,13 @@
     private void restore(
             long ledgerVersion,
             Map<JobId, JobRecord> records,
-            Map<JobId, ProgressRecord> progress,
+            Map<JobId, Map<Integer, ProgressRecord>> progress,
             LearnedRecord learnedStatistics) {
         statistics.restore(learnedStatistics);
         long timeOfDayMillis = context.timeOfDayMillis();
         records.forEach((id, record) -> {
-            Job job = JobTable.restore(id, record, progress.get(id), workerRegistry, context.now(), timeOfDayMillis);
+            Map<Integer, ProgressRecord> parts = progress.getOrDefault(id, Map.of());
+            Job job = JobTable.restore(id, record, parts, workerRegistry, context.now(), timeOfDayMillis);
             configuration.queue(job.queue().name()).ifPresent(job::updateQueue);
             jobs.add(job);
             runManager.onJobRestored(job);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
@@ -26,7 +27,7 @@
 
     private Map<JobId, JobRecord> jobs;
 
-    private Map<JobId, ProgressRecord> progress;
+    private Map<JobId, Map<Integer, ProgressRecord>> progress;
 
     private LearnedRecord learnedStatistics;
 
@@ -64,25 +65,36 @@
         read(new KeyValueRequest.ListPrefix(CellKeys.JOB_PREFIX), this::readJobs, result -> {
             jobs = new LinkedHashMap<>();
             for (KeyValueEntry entry : entries(result)) {
-                decode(entry, CellKeys.JOB_PREFIX, JobRecord.class, jobs);
+                decode(entry, JobRecord.class, record -> addJob(entry.key(), record));
             }
         });
     }
 
+    private void addJob(String key, JobRecord record) {
+        jobs.put(new JobId(key.substring(CellKeys.JOB_PREFIX.length())), record);
+    }
+
     private void readProgress() {
         read(new KeyValueRequest.ListPrefix(CellKeys.PROGRESS_PREFIX), this::readProgress, result -> {
             progress = new LinkedHashMap<>();
             for (KeyValueEntry entry : entries(result)) {
-                decode(entry, CellKeys.PROGRESS_PREFIX, ProgressRecord.class, progress);
+                decode(entry, ProgressRecord.class, record -> addPart(entry.key(), record));
             }
         });
     }
 
-    /** Adds the record in an entry; a record that cannot be read is left in the store and does not block the others. */
-    private static <T> void decode(KeyValueEntry entry, String prefix, Class<T> type, Map<JobId, T> records) {
+    private void addPart(String key, ProgressRecord record) {
+        String name = key.substring(CellKeys.PROGRESS_PREFIX.length());
+        int separator = name.indexOf(CellKeys.PART_SEPARATOR);
+        JobId id = new JobId(separator < 0 ? name : name.substring(0, separator));
+        int part = separator < 0 ? 0 : Integer.parseInt(name.substring(separator + 1));
+        progress.computeIfAbsent(id, each -> new TreeMap<>()).put(part, record);
+    }
+
+    /** Decodes the record in an entry; one that cannot be read is left in the store and does not block the others. */
+    private static <T> void decode(KeyValueEntry entry, Class<T> type, Consumer<T> handler) {
         try {
-            JobId id = new JobId(entry.key().substring(prefix.length()));
-            records.put(id, JsonCodec.compact().decode(entry.value(), type));
+            handler.accept(JsonCodec.compact().decode(entry.value(), type));
         } catch (IllegalArgumentException e) {
             LOGGER.atSevere().log(
                     "event=record_unreadable key=%s version=%d detail=\"%s\"",
@@ -146,13 +158,13 @@
          *
          * @param ledgerVersion the version of the ledger entry, {@link KeyValueRequest#ABSENT} if there is none
          * @param jobs the submissions
-         * @param progress the progress of jobs of which a task was started or which have ended
+         * @param progress the parts of the progress of jobs of which a task was started or which have ended
          * @param learnedStatistics the learned statistics
          */
         void onLoaded(
                 long ledgerVersion,
                 Map<JobId, JobRecord> jobs,
-                Map<JobId, ProgressRecord> progress,
+                Map<JobId, Map<Integer, ProgressRecord>> progress,
                 LearnedRecord learnedStatistics);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -27,9 +27,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** The store accepts 32 entries per transaction; two conditions, the ledger and the learned statistics take four. */
-    private static final int MAX_RECORDS_PER_TRANSACTION = 28;
-
     /** Interval of writes of the learned statistics; a successor lacks at most the updates of one interval. */
     private static final Duration STATISTICS_WRITE_INTERVAL = Duration.ofSeconds(3);
 
@@ -47,7 +44,10 @@
 
     private final Supplier<LearnedRecord> learnedStatistics;
 
-    private final Map<JobId, Change> changes = new LinkedHashMap<>();
+    private final Map<JobId, JobChange> changes = new LinkedHashMap<>();
+
+    /** The change of which only some records were in the last transaction; null if there is none. */
+    private JobChange partlySent;
 
     private long ledgerVersion;
 
@@ -86,25 +86,42 @@
     }
 
     /**
-     * Schedules a write of a job's records, with the state that the job has when the transaction is sent.
+     * Schedules a write of a job's definition and state, with the state that the job has when the transaction is sent.
      *
      * @param urgent whether to send as soon as no transaction is in flight, instead of batching changes
-     * @param whenDurable runs when the transaction is committed, or null
+     * @param whenDurable runs when the change is committed, or null
      * @return the sequence number of the change
      */
     long write(Job job, boolean urgent, Runnable whenDurable) {
-        Change change = changes.computeIfAbsent(job.id(), id -> new Change(job, sequence + 1));
-        change.deletion = false;
+        JobChange change = change(job);
+        change.addState(job);
+        return add(change, urgent, whenDurable);
+    }
+
+    /**
+     * Schedules a write of a task's record, and of its job's state if the job has ended.
+     *
+     * @param urgent whether to send as soon as no transaction is in flight, instead of batching changes
+     * @param whenDurable runs when the change is committed, or null
+     * @return the sequence number of the change
+     */
+    long write(Task task, boolean urgent, Runnable whenDurable) {
+        JobChange change = change(task.job());
+        change.addTask(task);
         return add(change, urgent, whenDurable);
     }
 
     /** Schedules the deletion of a job's records. */
     void delete(Job job) {
-        Change change = changes.computeIfAbsent(job.id(), id -> new Change(job, sequence + 1));
-        change.deletion = true;
+        JobChange change = change(job);
+        change.delete();
         add(change, false, null);
     }
 
+    private JobChange change(Job job) {
+        return changes.computeIfAbsent(job.id(), id -> new JobChange(job, sequence + 1));
+    }
+
     /** Returns whether and how long the store has been away. */
     StoreOutage outage() {
         return outage;
@@ -118,8 +135,8 @@
      */
     List<Job> withdrawUnsentJobs() {
         List<Job> withdrawn = new ArrayList<>();
-        for (Change change : changes.values()) {
-            Job job = change.job;
+        for (JobChange change : changes.values()) {
+            Job job = change.job();
             boolean sent = job.definitionStored() || inFlight != null && inFlight.contains(job);
             if (!sent && job.open() && !job.started()) {
                 withdrawn.add(job);
@@ -132,8 +149,11 @@
     /** Returns the highest sequence number up to which all changes are durable. */
     long durableSequence() {
         long firstPending = inFlight == null ? Long.MAX_VALUE : inFlight.firstSequence;
-        for (Change change : changes.values()) {
-            firstPending = Math.min(firstPending, change.firstSequence);
+        if (partlySent != null) {
+            firstPending = Math.min(firstPending, partlySent.firstSequence());
+        }
+        for (JobChange change : changes.values()) {
+            firstPending = Math.min(firstPending, change.firstSequence());
         }
         return firstPending == Long.MAX_VALUE ? sequence : firstPending - 1;
     }
@@ -145,31 +165,37 @@
 
     /** Returns whether no change waits and no transaction is in flight. */
     boolean idle() {
-        return changes.isEmpty() && inFlight == null;
+        return !changesPending() && inFlight == null;
     }
 
     /** Makes all waiting changes urgent and sends them, unless a transaction is in flight. */
     void flush() {
-        changes.values().forEach(change -> change.urgent = true);
+        changes.values().forEach(JobChange::markUrgent);
         sendIfDue();
     }
 
-    private long add(Change change, boolean urgent, Runnable whenDurable) {
+    private boolean changesPending() {
+        return partlySent != null || !changes.isEmpty();
+    }
+
+    private long add(JobChange change, boolean urgent, Runnable whenDurable) {
         sequence++;
-        change.urgent |= urgent;
+        if (urgent) {
+            change.markUrgent();
+        }
         if (whenDurable != null) {
-            change.whenDurable.add(whenDurable);
+            change.onDurable(whenDurable);
         }
         return sequence;
     }
 
     /** Sends the next transaction if none is in flight and a change is due; called after each event. */
     void sendIfDue() {
-        if (closed || inFlight != null || changes.isEmpty()) {
+        if (closed || inFlight != null || !changesPending()) {
             return;
         }
         Instant dueAt = lastSentAt.equals(Instant.MIN) ? context.now() : lastSentAt.plus(BATCH_INTERVAL);
-        boolean urgent = changes.values().stream().anyMatch(change -> change.urgent);
+        boolean urgent = partlySent != null || changes.values().stream().anyMatch(JobChange::urgent);
         if (!urgent && context.now().isBefore(dueAt)) {
             scheduleSend(Duration.between(context.now(), dueAt));
             return;
@@ -177,7 +203,7 @@
         inFlight = nextBatch();
         lastSentAt = context.now();
         outage.onSent(lastSentAt);
-        send(inFlight);
+        send(inFlight, request(inFlight));
     }
 
     private void scheduleSend(Duration delay) {
@@ -192,26 +218,54 @@
 
     private Batch nextBatch() {
         transactionCount++;
-        List<KeyValueRequest.Write> writes = new ArrayList<>();
-        List<String> deletions = new ArrayList<>();
-        List<Change> batched = new ArrayList<>();
-        long firstSequence = Long.MAX_VALUE;
-        Iterator<Change> pending = changes.values().iterator();
-        while (pending.hasNext() && writes.size() + deletions.size() + 2 <= MAX_RECORDS_PER_TRANSACTION) {
-            Change change = pending.next();
-            change.addEntries(writes, deletions);
-            batched.add(change);
-            firstSequence = Math.min(firstSequence, change.firstSequence);
+        TransactionBuilder transaction = new TransactionBuilder();
+        String commitMarker = ownerVersion + "." + transactionCount;
+        Batch batch = new Batch(transaction, commitMarker);
+        JobChange first = partlySent;
+        partlySent = null;
+        if (first != null) {
+            move(first, batch);
+        }
+        moveChanges(batch);
+        return batch;
+    }
+
+    private void moveChanges(Batch batch) {
+        Iterator<JobChange> pending = changes.values().iterator();
+        while (pending.hasNext() && partlySent == null) {
+            JobChange change = pending.next();
+            // A transaction must not have two records with the same key.
+            if (batch.contains(change.job().id())) {
+                continue;
+            }
+            if (move(change, batch) == JobChange.Moved.NONE) {
+                return;
+            }
             pending.remove();
         }
+    }
+
+    /** Moves records of a change to a batch; the rest of them is sent before other changes in the next one. */
+    private JobChange.Moved move(JobChange change, Batch batch) {
+        boolean statePending = change.statePending();
+        JobChange.Moved moved = change.moveTo(batch.transaction);
+        if (moved != JobChange.Moved.NONE) {
+            batch.add(change, moved == JobChange.Moved.ALL, statePending && !change.statePending());
+        }
+        if (moved == JobChange.Moved.PART) {
+            partlySent = change;
+        }
+        return moved;
+    }
+
+    private KeyValueRequest request(Batch batch) {
+        List<KeyValueRequest.Write> writes = new ArrayList<>(batch.transaction.writes());
         addStatisticsIfDue(writes);
-        String commitMarker = ownerVersion + "." + transactionCount;
-        writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, commitMarker, null));
+        writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, batch.commitMarker, null));
         List<KeyValueRequest.Condition> conditions = List.of(
                 new KeyValueRequest.Condition(CellKeys.OWNER, ownerVersion),
                 new KeyValueRequest.Condition(CellKeys.LEDGER, ledgerVersion));
-        KeyValueRequest request = new KeyValueRequest.Transaction(conditions, writes, deletions);
-        return new Batch(request, commitMarker, batched, firstSequence);
+        return new KeyValueRequest.Transaction(conditions, writes, batch.transaction.deletions());
     }
 
     private void addStatisticsIfDue(List<KeyValueRequest.Write> writes) {
@@ -222,12 +276,12 @@
         }
     }
 
-    private void send(Batch batch) {
+    private void send(Batch batch, KeyValueRequest request) {
         Instant sentAt = context.now();
-        context.callStore(batch.request, result -> applyResult(batch, result, sentAt));
+        context.callStore(request, result -> applyResult(batch, request, result, sentAt));
     }
 
-    private void applyResult(Batch batch, KeyValueResult result, Instant sentAt) {
+    private void applyResult(Batch batch, KeyValueRequest request, KeyValueResult result, Instant sentAt) {
         if (closed) {
             return;
         }
@@ -243,7 +297,7 @@
         LOGGER.atWarning().log("event=commit_unanswered transaction=%s result=%s", batch.commitMarker, result);
         context.schedule(RETRY_DELAY, () -> {
             if (!closed) {
-                send(batch);
+                send(batch, request);
             }
         });
     }
@@ -267,15 +321,9 @@
         ledgerVersion = version;
         outage.onAnswered(context.now());
         inFlight = null;
-        for (Change change : batch.changes) {
-            change.job.markDefinitionStored();
-            if (change.endStateWritten) {
-                change.job.markEndStateDurable();
-            }
-        }
-        for (Change change : batch.changes) {
-            change.whenDurable.forEach(Runnable::run);
-        }
+        batch.jobs.forEach(Job::markDefinitionStored);
+        batch.endedJobs.forEach(Job::markEndStateDurable);
+        batch.completed.forEach(JobChange::runDurableActions);
         listener.onCommitted();
         sendIfDue();
     }
@@ -293,49 +341,45 @@
         void onOwnershipLost(String detail);
     }
 
-    private static final class Change {
+    /** The records in one transaction. */
+    private static final class Batch {
 
-        private final Job job;
+        private final TransactionBuilder transaction;
 
-        private final long firstSequence;
+        private final String commitMarker;
 
-        private final List<Runnable> whenDurable = new ArrayList<>();
+        private final List<Job> jobs = new ArrayList<>();
 
-        private boolean urgent;
+        /** The jobs whose end is in the transaction. */
+        private final List<Job> endedJobs = new ArrayList<>();
 
-        private boolean deletion;
+        /** The changes whose last records are in the transaction. */
+        private final List<JobChange> completed = new ArrayList<>();
 
-        private boolean endStateWritten;
+        private long firstSequence = Long.MAX_VALUE;
 
-        private Change(Job job, long firstSequence) {
-            this.job = job;
-            this.firstSequence = firstSequence;
+        private Batch(TransactionBuilder transaction, String commitMarker) {
+            this.transaction = transaction;
+            this.commitMarker = commitMarker;
         }
 
-        private void addEntries(List<KeyValueRequest.Write> writes, List<String> deletions) {
-            if (deletion) {
-                deletions.add(CellKeys.job(job.id()));
-                deletions.add(CellKeys.progress(job.id()));
-                return;
-            }
-            JsonCodec codec = JsonCodec.compact();
-            if (!job.definitionStored()) {
-                JobRecord record = new JobRecord(job.queue(), job.submittedMillis(), job.spec());
-                writes.add(new KeyValueRequest.Write(CellKeys.job(job.id()), codec.encode(record), null));
+        private void add(JobChange change, boolean complete, boolean withState) {
+            jobs.add(change.job());
+            firstSequence = Math.min(firstSequence, change.firstSequence());
+            if (withState && !change.job().open()) {
+                endedJobs.add(change.job());
             }
-            ProgressRecord progress = ProgressRecord.of(job);
-            boolean progressEmpty = progress.end() == null && progress.tasks().isEmpty();
-            if (!progressEmpty || job.definitionStored()) {
-                writes.add(new KeyValueRequest.Write(CellKeys.progress(job.id()), codec.encode(progress), null));
+            if (complete) {
+                completed.add(change);
             }
-            endStateWritten = !job.open();
         }
-    }
 
-    private record Batch(KeyValueRequest request, String commitMarker, List<Change> changes, long firstSequence) {
+        private boolean contains(JobId id) {
+            return jobs.stream().anyMatch(job -> job.id().equals(id));
+        }
 
-        boolean contains(Job job) {
-            return changes.stream().anyMatch(change -> change.job == job);
+        private boolean contains(Job job) {
+            return jobs.contains(job);
         }
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.model.JobId;
@@ -18,6 +19,9 @@
     /** A job that takes longer than this many times its allowed time has no value, by the platform's scoring rule. */
     static final int MAX_LATENESS_FACTOR = 3;
 
+    /** The number of tasks in a part of the stored progress; keeps a record at some kilobytes. */
+    static final int TASKS_PER_PART = 64;
+
     private final JobId id;
 
     private final JobSpec spec;
@@ -30,8 +34,21 @@
 
     private final List<List<Step>> occurrences = new ArrayList<>();
 
+    /** The tasks of all occurrences and steps, in this order. */
+    private final List<Task> tasks = new ArrayList<>();
+
+    /** The index in {@link #tasks} of the first task of each step of the first occurrence. */
+    private final int[] stepOffsets;
+
+    /** The parts of the progress for which the store may have a record. */
+    private final BitSet storedParts = new BitSet();
+
+    private final BitSet misplacedParts = new BitSet();
+
     private QueueSpec queue;
 
+    private boolean laterPartsUsed;
+
     private boolean definitionStored;
 
     private boolean started;
@@ -52,10 +69,16 @@
         this.spec = spec;
         this.submittedAt = submittedAt;
         this.submittedMillis = submittedMillis;
+        this.stepOffsets = new int[spec.steps().size()];
         for (int occurrence = 0; occurrence < (spec.steps().isEmpty() ? 0 : spec.occurrences()); occurrence++) {
             List<Step> steps = new ArrayList<>();
-            for (StepSpec step : spec.steps()) {
-                steps.add(new Step(this, occurrence, steps.size(), step));
+            for (StepSpec stepSpec : spec.steps()) {
+                if (occurrence == 0) {
+                    stepOffsets[steps.size()] = tasks.size();
+                }
+                Step step = new Step(this, occurrence, steps.size(), stepSpec);
+                steps.add(step);
+                tasks.addAll(step.tasks());
             }
             occurrences.add(steps);
         }
@@ -106,6 +129,60 @@
         return steps.get(ref.step()).tasks().get(ref.index());
     }
 
+    /** Returns the part of the progress that holds a task's record. */
+    int partOf(TaskRef ref) {
+        int tasksPerOccurrence = tasks.size() / occurrences.size();
+        int index = ref.occurrence() * tasksPerOccurrence + stepOffsets[ref.step()] + ref.index();
+        return index / TASKS_PER_PART;
+    }
+
+    /** Returns the tasks whose records are in a part of the progress. */
+    List<Task> tasksOfPart(int part) {
+        int from = Math.min(part * TASKS_PER_PART, tasks.size());
+        return tasks.subList(from, Math.min(from + TASKS_PER_PART, tasks.size()));
+    }
+
+    /** Returns the parts of the progress for which the store may have a record. */
+    BitSet storedParts() {
+        return (BitSet) storedParts.clone();
+    }
+
+    boolean partStored(int part) {
+        return storedParts.get(part);
+    }
+
+    /** Records that the store has a record of a part, or may have it soon. */
+    void markPartStored(int part) {
+        storedParts.set(part);
+        laterPartsUsed |= part > 0;
+    }
+
+    void markPartDeleted(int part) {
+        storedParts.clear(part);
+    }
+
+    /** Returns the parts whose records an earlier version stored in the first part. */
+    BitSet misplacedParts() {
+        return (BitSet) misplacedParts.clone();
+    }
+
+    void markMisplaced(int part) {
+        misplacedParts.set(part);
+    }
+
+    void markPlaced(int part) {
+        misplacedParts.clear(part);
+    }
+
+    /** Returns whether a task of another part than the first has been started. */
+    boolean laterPartsUsed() {
+        return laterPartsUsed;
+    }
+
+    void markLaterPartsUsed() {
+        laterPartsUsed = true;
+    }
+
     /** Returns when an occurrence may start, in milliseconds since 1970; 0 (at once) for a job without a schedule. */
     long scheduledStartMillis(int occurrence) {
         return spec.timed() ? spec.firstDueMillis() + occurrence * spec.intervalMillis() : 0;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import org.flamingopitch.scheduler.cell.model.JobId;
-import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 
 /** The jobs of a cell by their id, open ones and ended ones whose state is still kept. */
@@ -46,34 +45,53 @@
         return job == null ? null : job.task(ref);
     }
 
-    /** Restores a job from its stored records, and its open runs on the workers where they were started. */
+    /**
+     * Restores a job from its stored records, and its open runs on the workers where they were started.
+     *
+     * @param progress the stored parts of its progress
+     */
     static Job restore(
             JobId id,
             JobRecord record,
-            ProgressRecord progress,
+            Map<Integer, ProgressRecord> progress,
             WorkerRegistry workerRegistry,
             Instant now,
             long timeOfDayMillis) {
         Instant submittedAt = now.minusMillis(Math.max(0, timeOfDayMillis - record.submittedMillis()));
         Job job = new Job(id, record.queue(), record.spec(), submittedAt, record.submittedMillis());
         job.markDefinitionStored();
-        if (progress == null) {
-            return job;
-        }
-        for (TaskRecord taskRecord : progress.tasks()) {
-            Task task = job.task(new TaskRef(id, taskRecord.occurrence(), taskRecord.step(), taskRecord.index()));
-            if (task != null) {
-                restoreTask(job, task, taskRecord, workerRegistry, now);
+        progress.forEach((part, partRecord) -> {
+            job.markPartStored(part);
+            for (TaskRecord taskRecord : partRecord.tasks()) {
+                Task task = job.task(new TaskRef(id, taskRecord.occurrence(), taskRecord.step(), taskRecord.index()));
+                if (task != null && belongs(task, part, progress)) {
+                    restoreTask(job, task, taskRecord, workerRegistry, now);
+                }
             }
-        }
-        JobState end = progress.end();
-        if (end != null) {
-            job.end(end, now);
+        });
+        if (progress.containsKey(0) && progress.get(0).end() != null) {
+            job.end(progress.get(0).end(), now);
             job.markEndStateDurable();
         }
         return job;
     }
 
+    /**
+     * Returns whether a part holds the valid record of a task. Earlier versions stored the tasks of all parts in the
+     * first one, which holds until the task's own part is stored.
+     */
+    private static boolean belongs(Task task, int part, Map<Integer, ProgressRecord> progress) {
+        int ownPart = task.job().partOf(task.ref());
+        if (ownPart == part) {
+            return true;
+        }
+        boolean valid = !progress.containsKey(ownPart);
+        if (valid) {
+            task.job().markMisplaced(ownPart);
+        }
+        return valid;
+    }
+
     private static void restoreTask(Job job, Task task, TaskRecord record, WorkerRegistry workerRegistry, Instant now) {
         job.markStarted();
         task.restoreLastRunNumber(record.run());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -294,7 +294,7 @@
             LOGGER.atWarning().log(
                     "event=worker_crashed worker=%s task=%s run=%d crashes=%d",
                     worker.id(), task.ref(), run.number(), crashes);
-            commitLog.write(task.job(), false, null);
+            commitLog.write(task, false, null);
             if (CrashAttribution.exhausted(task) && task.job().open()) {
                 LOGGER.atWarning().log(
                         "event=job_failed job=%s task=%s crashes=%d", task.job().id(), task.ref(), crashes);
@@ -314,7 +314,7 @@
             task.delayUntil(context.now().plus(delay));
             context.schedule(delay, placer::requestPass);
         }
-        commitLog.write(task.job(), false, null);
+        commitLog.write(task, false, null);
         placer.requestPass();
     }
 
@@ -332,14 +332,14 @@
             run.release(context.now());
         }
         if (task.done() || !task.job().open()) {
-            return commitLog.write(task.job(), false, null);
+            return commitLog.write(task, false, null);
         }
         handleEnd(task, worker, end, run);
         if (copy != null && (run != null || task.done())) {
             copyPlanner.recordEnd(task, run, copy);
         }
         placer.requestPass();
-        return commitLog.write(task.job(), !task.job().open(), null);
+        return commitLog.write(task, !task.job().open(), null);
     }
 
     private void handleEnd(Task task, WorkerState worker, RunEnd end, Run run) {
@@ -424,7 +424,7 @@
     @Override
     public void onReportApplied(WorkerState worker) {
         for (Task cleared : crashAttribution.clear(worker)) {
-            commitLog.write(cleared.job(), false, null);
+            commitLog.write(cleared, false, null);
             placer.requestPass();
         }
         statistics.interference().update(worker, context.now());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StoredProgress.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StoredProgress.java
@@ -11,7 +11,7 @@
     /**
      * Returns the state of a job with a progress record.
      *
-     * @param value the progress record as stored
+     * @param value the first part of the progress as stored
      * @return the state
      */
     public static JobState state(String value) {
@@ -19,7 +19,7 @@
         if (record.end() != null) {
             return record.end();
         }
-        return record.tasks().isEmpty() ? JobState.QUEUED : JobState.RUNNING;
+        return record.empty() ? JobState.QUEUED : JobState.RUNNING;
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -172,29 +172,25 @@
     }
 
     private void placeJob(Job job, long timeOfDayMillis, FailedPlacements failures, PlacementPass pass, Instant now) {
-        boolean placed = false;
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
                 if (step.done() || !step.ready(timeOfDayMillis)) {
                     continue;
                 }
-                placed |= placeStep(step, pass, failures, now);
+                placeStep(step, pass, failures, now);
                 if (step.waitingCount(now) > 0) {
                     tasksWaiting = true;
                     recordLackOfCapacity(step, failures);
                 }
             }
         }
-        if (placed) {
-            commitLog.write(job, true, null);
-        }
     }
 
     /**
      * Places the waiting tasks of a step; only those that a worker is reserved for if no other worker has capacity. Adds
      * the step to the failures if a task found no capacity, but not if it waits for its rack.
      */
-    private boolean placeStep(Step step, PlacementPass pass, FailedPlacements failures, Instant now) {
+    private void placeStep(Step step, PlacementPass pass, FailedPlacements failures, Instant now) {
         boolean onlyReserved = failures.covers(step);
         List<Task> tasks = step.tasks().stream()
                 .filter(task -> task.waiting(now) && (!onlyReserved || task.hasReservation(now)))
@@ -203,13 +199,12 @@
             if (onlyReserved) {
                 preemptBestEffortTasks(step, now);
             }
-            return false;
+            return;
         }
         RackWaitPlanner.StepPlan plan = rackWaits.plan(step);
         if (plan.keepsAllWaiting(tasks)) {
-            return false;
+            return;
         }
-        boolean placed = false;
         boolean capacityExhausted = false;
         PlacementPass.Search search = pass.search(step);
         for (Task task : tasks) {
@@ -227,13 +222,11 @@
             }
             place(task, candidate, now);
             search.onPlaced(candidate);
-            placed = true;
         }
         if (capacityExhausted) {
             failures.add(step);
             preemptBestEffortTasks(step, now);
         }
-        return placed;
     }
 
     private void preemptBestEffortTasks(Step step, Instant now) {
@@ -260,7 +253,7 @@
         Run run = task.place(candidate.worker(), now);
         candidate.worker().add(run);
         rackWaits.onPlaced(task, candidate);
-        commitLog.write(task.job(), true, () -> startIfStillPlanned(run));
+        commitLog.write(task, true, () -> startIfStillPlanned(run));
         return run;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -18,6 +19,9 @@
  */
 public final class FakeStore {
 
+    /** The number of conditions, writes and deletions that a transaction may have. */
+    private static final int MAX_ENTRIES = 32;
+
     private final TreeMap<String, KeyValueEntry> entries = new TreeMap<>();
 
     private final TreeMap<String, String> leaseByKey = new TreeMap<>();
@@ -41,6 +45,10 @@
     /** Calls that read keys with this prefix fail; null for none. */
     private String unreadablePrefix;
 
+    private int maxValueBytes = 1 << 20;
+
+    private int largestTransactionBytes;
+
     private boolean unavailable;
 
     private boolean answersLost;
@@ -54,6 +62,34 @@
         unavailable = isUnavailable;
     }
 
+    /**
+     * Sets the size of the largest value that the store accepts.
+     *
+     * @param limit the size in bytes
+     */
+    public void setMaxValueBytes(int limit) {
+        maxValueBytes = limit;
+    }
+
+    /**
+     * Returns the size of all values in the largest transaction so far.
+     *
+     * @return the size in bytes
+     */
+    public int largestTransactionBytes() {
+        return largestTransactionBytes;
+    }
+
+    /**
+     * Returns the keys with a prefix.
+     *
+     * @param prefix the prefix
+     * @return the keys
+     */
+    public List<String> keys(String prefix) {
+        return entriesWithPrefix(prefix).stream().map(KeyValueEntry::key).toList();
+    }
+
     /**
      * Sets whether the answers of calls that change the store are lost. The calls are executed nevertheless.
      *
@@ -195,7 +231,25 @@
         return transact((KeyValueRequest.Transaction) request);
     }
 
+    private boolean exceedsLimits(KeyValueRequest.Transaction transaction) {
+        int entryCount = transaction.conditions().size()
+                + transaction.writes().size()
+                + transaction.deletions().size();
+        int bytes = 0;
+        int largest = 0;
+        for (KeyValueRequest.Write write : transaction.writes()) {
+            int size = write.value().getBytes(StandardCharsets.UTF_8).length;
+            bytes += size;
+            largest = Math.max(largest, size);
+        }
+        largestTransactionBytes = Math.max(largestTransactionBytes, bytes);
+        return entryCount > MAX_ENTRIES || largest > maxValueBytes;
+    }
+
     private KeyValueResult transact(KeyValueRequest.Transaction transaction) {
+        if (exceedsLimits(transaction)) {
+            return failure("status 400");
+        }
         for (KeyValueRequest.Write write : transaction.writes()) {
             if (write.leaseId() != null && !leases.containsKey(write.leaseId())) {
                 return new KeyValueResult.LeaseEnded();
