Fail only the job whose record the store rejects

Cause: the store answers 400 to a transaction that it never accepts, for example for a value that is too large.

The records of a rejected transaction are sent one by one. A job is refused if its definition is rejected alone, and fails if its progress is; statistics are not written again. Ends in a rejected record are acknowledged to the worker only when the failure of the job is stored. Refusals move to a class of their own.

With bounded parts no record of a job that is accepted today reaches the limit; the handling bounds what an unforeseen one can do.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
@@ -65,6 +65,14 @@
     /** The lease has ended. */
     record LeaseEnded() implements KeyValueResult {}
 
+    /**
+     * The store does not accept the transaction, for example because a value is too large; it was not executed, and
+     * neither would be a repetition.
+     *
+     * @param failure the error
+     */
+    record Rejected(Failure failure) implements KeyValueResult {}
+
     /**
      * The store did not answer; if the request was a write, it may have taken effect.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -10,9 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
-import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
 import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
-import org.flamingopitch.scheduler.cell.admission.RetryDelay;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
@@ -41,11 +39,6 @@
     /** Added to the latest possible expiry of the former owner's leases, as an order may wait in a buffer. */
     private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(300);
 
-    /** Retry delay of a job that needs an unsupported feature; another version of the system may support it. */
-    private static final Duration UNSUPPORTED_RETRY_DELAY = Duration.ofSeconds(30);
-
-    private static final Duration UNCONFIRMED_RETRY_DELAY = Duration.ofSeconds(1);
-
     private static final long MILLICORES_PER_CORE = 1_000;
 
     private final CellContext context;
@@ -60,6 +53,8 @@
 
     private final PendingAnswers pendingAnswers = new PendingAnswers();
 
+    private final JobRefusals refusals;
+
     private final WorkerRegistry workerRegistry;
 
     private final CellRecordsLoader recordsLoader;
@@ -108,6 +103,7 @@
         this.election = election;
         this.fencingToken = fencingToken;
         this.configuration = configuration;
+        this.refusals = new JobRefusals(context.metrics());
         this.electedAt = context.now();
         // The clock of a worker may be 2 % slow.
         this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
@@ -318,13 +314,11 @@
         if (existing != null) {
             answerWhenDurable(existing, new JobAnswer.Accepted(), answer);
         } else if (unsupportedFeature.isPresent()) {
-            String detail = unsupportedFeature.get();
-            refuse(submit.id(), submit.queue(), AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, detail, answer);
+            refusals.refuseUnsupported(submit.id(), submit.queue(), unsupportedFeature.get(), answer);
         } else if (storeAway()) {
             refuseStoreAway(submit.id(), submit.queue(), answer);
         } else if (!mayAct()) {
-            String detail = "the store does not answer";
-            refuse(submit.id(), submit.queue(), AdmissionOutcome.UNCONFIRMED, UNCONFIRMED_RETRY_DELAY, detail, answer);
+            refusals.refuseUnconfirmed(submit.id(), submit.queue(), answer);
         } else {
             admit(submit, answer);
         }
@@ -391,20 +385,6 @@
         }
     }
 
-    private void refuse(
-            JobId id,
-            QueueSpec queue,
-            AdmissionOutcome outcome,
-            Duration retryDelay,
-            String detail,
-            Consumer<JobAnswer> answer) {
-        context.metrics().recordAdmission(queue.priority(), outcome.label());
-        LOGGER.atWarning().log(
-                "event=refused job=%s queue=%s reason=%s retry_ms=%d detail=\"%s\"",
-                id, queue.name(), outcome.label(), retryDelay.toMillis(), detail);
-        answer.accept(new JobAnswer.Refused(retryDelay, detail));
-    }
-
     /** Returns the feature that a job needs and that is not supported, if any; such a job is refused. */
     private static Optional<String> unsupportedFeature(JobRequest.Submit submit) {
         if (submit.queue().advised()) {
@@ -446,11 +426,7 @@
     }
 
     private void refuseStoreAway(JobId id, QueueSpec queue, Consumer<JobAnswer> answer) {
-        Duration elapsed = commitLog.outage().elapsed(context.now());
-        // An outage that has lasted long is likely to last longer; callers have few attempts.
-        Duration retryDelay = RetryDelay.of(elapsed.dividedBy(2), id.value());
-        String detail = "the store has not answered for " + elapsed.toMillis() + " ms";
-        refuse(id, queue, AdmissionOutcome.STORE_AWAY, retryDelay, detail, answer);
+        refusals.refuseStoreAway(id, queue, commitLog.outage().elapsed(context.now()), answer);
     }
 
     private void stepDownAfterRejection(WorkerState worker) {
@@ -474,6 +450,25 @@
             runManager.onCommitted();
         }
 
+        @Override
+        public void onRecordRejected(Job job) {
+            if (!job.definitionStored()) {
+                runManager.withdraw(job);
+                refusals.refuseUnsupported(
+                        job.id(),
+                        job.queue(),
+                        "the store does not accept the record of the job",
+                        refusal -> pendingAnswers.answer(job.id(), refusal));
+                return;
+            }
+            pendingAnswers.answer(job.id(), new JobAnswer.InDoubt());
+            if (job.open()) {
+                LOGGER.atSevere().log(
+                        "event=job_failed job=%s cause=\"the store does not accept its progress\"", job.id());
+                runManager.endJob(job, JobState.FAILED);
+            }
+        }
+
         @Override
         public void onOwnershipLost(String detail) {
             election.stepDown(detail);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -55,7 +55,7 @@
 
     private final StoreOutage outage = new StoreOutage();
 
-    private Batch inFlight;
+    private CommitBatch inFlight;
 
     private Instant lastSentAt = Instant.MIN;
 
@@ -65,6 +65,9 @@
 
     private boolean closed;
 
+    /** Whether the store does not accept the learned statistics, which this owner then writes no more. */
+    private boolean statisticsRejected;
+
     private long transactionCount;
 
     CommitLog(
@@ -148,7 +151,7 @@
 
     /** Returns the highest sequence number up to which all changes are durable. */
     long durableSequence() {
-        long firstPending = inFlight == null ? Long.MAX_VALUE : inFlight.firstSequence;
+        long firstPending = inFlight == null ? Long.MAX_VALUE : inFlight.firstSequence();
         if (partlySent != null) {
             firstPending = Math.min(firstPending, partlySent.firstSequence());
         }
@@ -200,10 +203,9 @@
             scheduleSend(Duration.between(context.now(), dueAt));
             return;
         }
-        inFlight = nextBatch();
         lastSentAt = context.now();
-        outage.onSent(lastSentAt);
-        send(inFlight, request(inFlight));
+        inFlight = nextBatch();
+        send(inFlight);
     }
 
     private void scheduleSend(Duration delay) {
@@ -216,21 +218,21 @@
         }
     }
 
-    private Batch nextBatch() {
-        transactionCount++;
+    private CommitBatch nextBatch() {
+        CommitBatch batch = new CommitBatch();
         TransactionBuilder transaction = new TransactionBuilder();
-        String commitMarker = ownerVersion + "." + transactionCount;
-        Batch batch = new Batch(transaction, commitMarker);
         JobChange first = partlySent;
         partlySent = null;
         if (first != null) {
-            move(first, batch);
+            move(first, batch, transaction);
         }
-        moveChanges(batch);
+        moveChanges(batch, transaction);
+        batch.addRecords(transaction.records());
+        addStatisticsIfDue(batch);
         return batch;
     }
 
-    private void moveChanges(Batch batch) {
+    private void moveChanges(CommitBatch batch, TransactionBuilder transaction) {
         Iterator<JobChange> pending = changes.values().iterator();
         while (pending.hasNext() && partlySent == null) {
             JobChange change = pending.next();
@@ -238,7 +240,7 @@
             if (batch.contains(change.job().id())) {
                 continue;
             }
-            if (move(change, batch) == JobChange.Moved.NONE) {
+            if (move(change, batch, transaction) == JobChange.Moved.NONE) {
                 return;
             }
             pending.remove();
@@ -246,11 +248,11 @@
     }
 
     /** Moves records of a change to a batch; the rest of them is sent before other changes in the next one. */
-    private JobChange.Moved move(JobChange change, Batch batch) {
+    private JobChange.Moved move(JobChange change, CommitBatch batch, TransactionBuilder transaction) {
         boolean statePending = change.statePending();
-        JobChange.Moved moved = change.moveTo(batch.transaction);
+        JobChange.Moved moved = change.moveTo(transaction);
         if (moved != JobChange.Moved.NONE) {
-            batch.add(change, moved == JobChange.Moved.ALL, statePending && !change.statePending());
+            batch.addChange(change, moved == JobChange.Moved.ALL, statePending && !change.statePending());
         }
         if (moved == JobChange.Moved.PART) {
             partlySent = change;
@@ -258,72 +260,135 @@
         return moved;
     }
 
-    private KeyValueRequest request(Batch batch) {
-        List<KeyValueRequest.Write> writes = new ArrayList<>(batch.transaction.writes());
-        addStatisticsIfDue(writes);
-        writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, batch.commitMarker, null));
-        List<KeyValueRequest.Condition> conditions = List.of(
-                new KeyValueRequest.Condition(CellKeys.OWNER, ownerVersion),
-                new KeyValueRequest.Condition(CellKeys.LEDGER, ledgerVersion));
-        return new KeyValueRequest.Transaction(conditions, writes, batch.transaction.deletions());
-    }
-
-    private void addStatisticsIfDue(List<KeyValueRequest.Write> writes) {
-        if (!context.now().isBefore(statisticsWrittenAt.plus(STATISTICS_WRITE_INTERVAL))) {
+    private void addStatisticsIfDue(CommitBatch batch) {
+        boolean due = !context.now().isBefore(statisticsWrittenAt.plus(STATISTICS_WRITE_INTERVAL));
+        if (due && !statisticsRejected) {
             statisticsWrittenAt = context.now();
             String value = JsonCodec.compact().encode(learnedStatistics.get());
-            writes.add(new KeyValueRequest.Write(CellKeys.LEARNED, value, null));
+            batch.addRecords(List.of(new PendingRecord(null, CellKeys.LEARNED, value)));
+        }
+    }
+
+    /** Sends the remaining records of a batch in a transaction, or one of them if the batch was rejected. */
+    private void send(CommitBatch batch) {
+        transactionCount++;
+        batch.setCommitMarker(ownerVersion + "." + transactionCount);
+        List<KeyValueRequest.Write> writes = new ArrayList<>();
+        List<String> deletions = new ArrayList<>();
+        for (PendingRecord record : batch.nextRecords()) {
+            if (record.value() == null) {
+                deletions.add(record.key());
+            } else {
+                writes.add(new KeyValueRequest.Write(record.key(), record.value(), null));
+            }
         }
+        writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, batch.commitMarker(), null));
+        List<KeyValueRequest.Condition> conditions = List.of(
+                new KeyValueRequest.Condition(CellKeys.OWNER, ownerVersion),
+                new KeyValueRequest.Condition(CellKeys.LEDGER, ledgerVersion));
+        outage.onSent(context.now());
+        callStore(batch, new KeyValueRequest.Transaction(conditions, writes, deletions));
     }
 
-    private void send(Batch batch, KeyValueRequest request) {
+    private void callStore(CommitBatch batch, KeyValueRequest request) {
         Instant sentAt = context.now();
         context.callStore(request, result -> applyResult(batch, request, result, sentAt));
     }
 
-    private void applyResult(Batch batch, KeyValueRequest request, KeyValueResult result, Instant sentAt) {
+    private void applyResult(CommitBatch batch, KeyValueRequest request, KeyValueResult result, Instant sentAt) {
         if (closed) {
             return;
         }
         if (result instanceof KeyValueResult.Written written) {
             listener.onConfirmed(sentAt);
-            finishBatch(batch, written.version());
+            applyCommit(batch, written.version());
             return;
         }
         if (result instanceof KeyValueResult.ConditionFailed conflict) {
             resolveConflict(batch, conflict.actual());
             return;
         }
-        LOGGER.atWarning().log("event=commit_unanswered transaction=%s result=%s", batch.commitMarker, result);
+        if (result instanceof KeyValueResult.Rejected rejected) {
+            applyRejection(batch, rejected);
+            return;
+        }
+        LOGGER.atWarning().log("event=commit_unanswered transaction=%s result=%s", batch.commitMarker(), result);
         context.schedule(RETRY_DELAY, () -> {
             if (!closed) {
-                send(batch, request);
+                callStore(batch, request);
             }
         });
     }
 
+    /** Sends the records of a rejected transaction one by one, and drops the one that is rejected alone. */
+    private void applyRejection(CommitBatch batch, KeyValueResult.Rejected rejected) {
+        outage.onAnswered(context.now());
+        List<PendingRecord> records = batch.nextRecords();
+        LOGGER.atSevere().log(
+                "event=commit_rejected transaction=%s records=%d key=%s %s",
+                batch.commitMarker(),
+                records.size(),
+                records.isEmpty() ? CellKeys.LEDGER : records.get(0).key(),
+                rejected.failure());
+        if (records.size() > 1) {
+            batch.sendOneByOne();
+        } else if (!records.isEmpty()) {
+            dropRejected(batch, records.get(0).change());
+        }
+        if (batch.committed()) {
+            finishBatch(batch);
+        } else {
+            send(batch);
+        }
+    }
+
+    private void dropRejected(CommitBatch batch, JobChange rejected) {
+        batch.drop(rejected);
+        if (rejected == null) {
+            statisticsRejected = true;
+            return;
+        }
+        if (partlySent == rejected) {
+            partlySent = null;
+        }
+        if (rejected.job().definitionStored()) {
+            // The ends of runs in the rejected records are not acknowledged before the end of the job is stored.
+            change(rejected.job()).supersede(rejected);
+        } else {
+            changes.remove(rejected.job().id());
+        }
+        listener.onRecordRejected(rejected.job());
+    }
+
     /** Finishes the batch if an earlier copy of its transaction was committed; otherwise reports the ownership as lost. */
-    private void resolveConflict(Batch batch, List<KeyValueEntry> actual) {
+    private void resolveConflict(CommitBatch batch, List<KeyValueEntry> actual) {
         long actualOwnerVersion = 0;
         for (KeyValueEntry entry : actual) {
             if (entry.key().equals(CellKeys.OWNER)) {
                 actualOwnerVersion = entry.version();
             }
-            if (entry.key().equals(CellKeys.LEDGER) && batch.commitMarker.equals(entry.value())) {
-                finishBatch(batch, entry.version());
+            if (entry.key().equals(CellKeys.LEDGER) && batch.commitMarker().equals(entry.value())) {
+                applyCommit(batch, entry.version());
                 return;
             }
         }
         listener.onOwnershipLost("owner_version=" + actualOwnerVersion + " expected=" + ownerVersion);
     }
 
-    private void finishBatch(Batch batch, long version) {
+    private void applyCommit(CommitBatch batch, long version) {
         ledgerVersion = version;
         outage.onAnswered(context.now());
+        batch.markCommitted();
+        if (batch.committed()) {
+            finishBatch(batch);
+        } else {
+            send(batch);
+        }
+    }
+
+    private void finishBatch(CommitBatch batch) {
         inFlight = null;
-        batch.jobs.forEach(Job::markDefinitionStored);
-        batch.endedJobs.forEach(Job::markEndStateDurable);
-        batch.completed.forEach(JobChange::runDurableActions);
+        batch.finish();
         listener.onCommitted();
         sendIfDue();
     }
@@ -337,49 +402,10 @@
         /** A transaction was committed; the changes in it are durable. */
         void onCommitted();
 
+        /** The store does not accept a record of a job; its pending changes are dropped. */
+        void onRecordRejected(Job job);
+
         /** A transaction was rejected because another process owns the cell or has changed the ledger. */
         void onOwnershipLost(String detail);
     }
-
-    /** The records in one transaction. */
-    private static final class Batch {
-
-        private final TransactionBuilder transaction;
-
-        private final String commitMarker;
-
-        private final List<Job> jobs = new ArrayList<>();
-
-        /** The jobs whose end is in the transaction. */
-        private final List<Job> endedJobs = new ArrayList<>();
-
-        /** The changes whose last records are in the transaction. */
-        private final List<JobChange> completed = new ArrayList<>();
-
-        private long firstSequence = Long.MAX_VALUE;
-
-        private Batch(TransactionBuilder transaction, String commitMarker) {
-            this.transaction = transaction;
-            this.commitMarker = commitMarker;
-        }
-
-        private void add(JobChange change, boolean complete, boolean withState) {
-            jobs.add(change.job());
-            firstSequence = Math.min(firstSequence, change.firstSequence());
-            if (withState && !change.job().open()) {
-                endedJobs.add(change.job());
-            }
-            if (complete) {
-                completed.add(change);
-            }
-        }
-
-        private boolean contains(JobId id) {
-            return jobs.stream().anyMatch(job -> job.id().equals(id));
-        }
-
-        private boolean contains(Job job) {
-            return jobs.contains(job);
-        }
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobChange.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobChange.java
@@ -11,7 +11,7 @@
  */
 final class JobChange {
 
-    private final long firstSequence;
+    private long firstSequence;
 
     private final List<Runnable> whenDurable = new ArrayList<>();
 
@@ -40,6 +40,11 @@
         return firstSequence;
     }
 
+    /** Takes the place of an earlier change whose records are not stored. */
+    void supersede(JobChange earlier) {
+        firstSequence = Math.min(firstSequence, earlier.firstSequence);
+    }
+
     boolean urgent() {
         return urgent;
     }
@@ -106,14 +111,14 @@
 
     /** Moves records to a transaction, until it is full; the definition of a new job goes first. */
     Moved moveTo(TransactionBuilder transaction) {
-        int recordsBefore = transaction.recordCount();
+        int recordsBefore = transaction.records().size();
         boolean all = deletion
                 ? moveDeletions(transaction)
                 : moveDefinition(transaction) && moveMisplacedParts(transaction) && moveParts(transaction);
         if (all) {
             return Moved.ALL;
         }
-        return transaction.recordCount() == recordsBefore ? Moved.NONE : Moved.PART;
+        return transaction.records().size() == recordsBefore ? Moved.NONE : Moved.PART;
     }
 
     /** Deletes the definition last, so that a successor finds the records that remain. */
@@ -124,13 +129,13 @@
                 return false;
             }
         }
-        return transaction.delete(CellKeys.job(job.id()), CellKeys.progress(job.id()));
+        return transaction.delete(this, CellKeys.job(job.id()), CellKeys.progress(job.id()));
     }
 
     private boolean moveDefinition(TransactionBuilder transaction) {
         if (!job.definitionStored() && !definitionMoved) {
             JobRecord record = new JobRecord(job.queue(), job.submittedMillis(), job.spec());
-            definitionMoved = transaction.write(CellKeys.job(job.id()), record);
+            definitionMoved = transaction.write(this, CellKeys.job(job.id()), record);
             return definitionMoved;
         }
         return true;
@@ -160,7 +165,7 @@
         ProgressRecord record = ProgressRecord.of(job, part);
         boolean moved = true;
         if (!record.empty() || part == 0 && job.definitionStored()) {
-            moved = transaction.write(CellKeys.progress(job.id(), part), record);
+            moved = transaction.write(this, CellKeys.progress(job.id(), part), record);
             if (moved) {
                 job.markPartStored(part);
             }
@@ -175,7 +180,7 @@
     }
 
     private boolean movePartDeletion(int part, TransactionBuilder transaction) {
-        boolean moved = transaction.delete(CellKeys.progress(job.id(), part));
+        boolean moved = transaction.delete(this, CellKeys.progress(job.id(), part));
         if (moved) {
             job.markPartDeleted(part);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TransactionBuilder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TransactionBuilder.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.flamingopitch.coordination.api.JsonCodec;
-import org.flamingopitch.coordination.kv.KeyValueRequest;
 
 /** Collects the writes and deletions of one transaction, within the limits of the store and of a slow link. */
 final class TransactionBuilder {
@@ -15,9 +14,7 @@
     /** A link of 7 Mbit/s carries this, as base64, in 0.4 s, which is well within the time limit of a call. */
     static final int MAX_BYTES = 256 * 1024;
 
-    private final List<KeyValueRequest.Write> writes = new ArrayList<>();
-
-    private final List<String> deletions = new ArrayList<>();
+    private final List<PendingRecord> records = new ArrayList<>();
 
     private int bytes;
 
@@ -26,13 +23,13 @@
      *
      * @return whether it was added
      */
-    boolean write(String key, Object record) {
+    boolean write(JobChange change, String key, Object record) {
         String value = JsonCodec.compact().encode(record);
         int size = value.getBytes(StandardCharsets.UTF_8).length;
-        boolean fits = recordCount() < MAX_RECORDS && (recordCount() == 0 || bytes + size <= MAX_BYTES);
+        boolean fits = records.isEmpty() || records.size() < MAX_RECORDS && bytes + size <= MAX_BYTES;
         if (fits) {
             bytes += size;
-            writes.add(new KeyValueRequest.Write(key, value, null));
+            records.add(new PendingRecord(change, key, value));
         }
         return fits;
     }
@@ -42,23 +39,18 @@
      *
      * @return whether they were added
      */
-    boolean delete(String... keys) {
-        boolean fits = recordCount() + keys.length <= MAX_RECORDS;
+    boolean delete(JobChange change, String... keys) {
+        boolean fits = records.size() + keys.length <= MAX_RECORDS;
         if (fits) {
-            deletions.addAll(List.of(keys));
+            for (String key : keys) {
+                records.add(new PendingRecord(change, key, null));
+            }
         }
         return fits;
     }
 
-    int recordCount() {
-        return writes.size() + deletions.size();
-    }
-
-    List<KeyValueRequest.Write> writes() {
-        return writes;
-    }
-
-    List<String> deletions() {
-        return deletions;
+    /** Returns the records in the order in which they were added. */
+    List<PendingRecord> records() {
+        return records;
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
@@ -47,6 +48,8 @@
 
     private int maxValueBytes = 1 << 20;
 
+    private Predicate<String> rejectedKeys = key -> false;
+
     private int largestTransactionBytes;
 
     private boolean unavailable;
@@ -71,6 +74,15 @@
         maxValueBytes = limit;
     }
 
+    /**
+     * Sets which keys the store does not accept in a transaction.
+     *
+     * @param keys the keys
+     */
+    public void setRejectedKeys(Predicate<String> keys) {
+        rejectedKeys = keys;
+    }
+
     /**
      * Returns the size of all values in the largest transaction so far.
      *
@@ -243,12 +255,13 @@
             largest = Math.max(largest, size);
         }
         largestTransactionBytes = Math.max(largestTransactionBytes, bytes);
-        return entryCount > MAX_ENTRIES || largest > maxValueBytes;
+        boolean keyRejected = transaction.writes().stream().anyMatch(write -> rejectedKeys.test(write.key()));
+        return entryCount > MAX_ENTRIES || largest > maxValueBytes || keyRejected;
     }
 
     private KeyValueResult transact(KeyValueRequest.Transaction transaction) {
         if (exceedsLimits(transaction)) {
-            return failure("status 400");
+            return new KeyValueResult.Rejected(new Failure("store", "fake", "status 400"));
         }
         for (KeyValueRequest.Write write : transaction.writes()) {
             if (write.leaseId() != null && !leases.containsKey(write.leaseId())) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobChangeTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/JobChangeTest.java
@@ -3,12 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.flamingopitch.coordination.api.JsonCodec;
-import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobState;
@@ -35,10 +33,7 @@
     }
 
     private static List<String> keys(TransactionBuilder transaction) {
-        List<String> keys = new ArrayList<>(
-                transaction.writes().stream().map(KeyValueRequest.Write::key).toList());
-        keys.addAll(transaction.deletions());
-        return keys;
+        return transaction.records().stream().map(PendingRecord::key).toList();
     }
 
     private Job restore(Map<Integer, ProgressRecord> parts) {
@@ -72,7 +67,7 @@
         change.addTask(task(Job.TASKS_PER_PART));
         TransactionBuilder transaction = moveOnce(change);
         assertThat(keys(transaction)).containsExactly(CellKeys.progress(job.id()), CellKeys.progress(job.id(), 1));
-        assertThat(StoredProgress.state(transaction.writes().get(0).value())).isEqualTo(JobState.RUNNING);
+        assertThat(StoredProgress.state(transaction.records().get(0).value())).isEqualTo(JobState.RUNNING);
     }
 
     /** If a part were emptied first, a successor that saw no end would start its done tasks again. */
@@ -88,8 +83,12 @@
         change.addState(job);
         TransactionBuilder first = new TransactionBuilder();
         assertThat(change.moveTo(first)).isEqualTo(JobChange.Moved.PART);
-        assertThat(first.writes()).extracting(KeyValueRequest.Write::key).containsExactly(CellKeys.progress(job.id()));
-        assertThat(first.deletions()).hasSize(TransactionBuilder.MAX_RECORDS - 1);
+        assertThat(first.records()).hasSize(TransactionBuilder.MAX_RECORDS);
+        assertThat(first.records().get(0).key()).isEqualTo(CellKeys.progress(job.id()));
+        assertThat(first.records().get(0).value()).contains("DONE");
+        assertThat(first.records().subList(1, first.records().size()))
+                .extracting(PendingRecord::value)
+                .containsOnlyNulls();
         TransactionBuilder second = new TransactionBuilder();
         assertThat(change.moveTo(second)).isEqualTo(JobChange.Moved.ALL);
         assertThat(job.storedParts().stream().boxed()).containsExactly(0);
@@ -120,8 +119,8 @@
         TransactionBuilder transaction = moveOnce(change);
         assertThat(keys(transaction)).containsExactly(CellKeys.progress(job.id(), 2), CellKeys.progress(job.id()));
         Map<Integer, ProgressRecord> stored = new TreeMap<>();
-        stored.put(2, decode(transaction.writes().get(0).value()));
-        stored.put(0, decode(transaction.writes().get(1).value()));
+        stored.put(2, decode(transaction.records().get(0).value()));
+        stored.put(0, decode(transaction.records().get(1).value()));
         Job again = restore(stored);
         assertThat(again.step(0, 0).tasks().get(index).done()).isTrue();
         assertThat(again.step(0, 0).tasks().get(index).lastRunNumber()).isEqualTo(4);
