Bound the wait for each part of an answer of the store, not for the whole

A call to the store had 700 ms for its whole answer; a page of the list of jobs has up to 1 MB, which takes 1.2 s on such a link. The loader failed every 0.85 s and began again with the first page. Ruled out by the logs of a run: no successor (one was elected), a store that is silent (only the list of jobs failed, 16 times of 16).

Change: for calls that read, the limit holds for the first part of the answer and for each further one. The loader reads page by page and repeats only the page that failed.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueRequest.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueRequest.java
@@ -45,6 +45,20 @@
         }
     }
 
+    /**
+     * Reads the next keys with a prefix, as many as the store returns in one answer; the result tells whether there are
+     * more.
+     *
+     * @param prefix the prefix
+     * @param after the key after which to begin, empty for the first page
+     */
+    record ListPage(String prefix, String after) implements KeyValueRequest {
+        @Override
+        public boolean changesStore() {
+            return false;
+        }
+    }
+
     /**
      * Waits for changes of keys with a prefix (long poll).
      *
--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
@@ -30,7 +30,8 @@
      *
      * @param entries the keys; in the answer to a watch also deletions
      * @param revision the store revision up to which the entries are current
-     * @param complete whether the entries are all keys with the prefix, rather than only the changed ones
+     * @param complete whether the entries are all keys with the prefix, rather than only the changed ones; of a page,
+     *     whether it is the last one
      */
     record Listed(List<KeyValueEntry> entries, long revision, boolean complete) implements KeyValueResult {}
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -62,33 +61,50 @@
     }
 
     private void readJobs() {
-        read(new KeyValueRequest.ListPrefix(CellKeys.JOB_PREFIX), this::readJobs, result -> {
-            jobs = new LinkedHashMap<>();
-            for (KeyValueEntry entry : entries(result)) {
-                decode(entry, JobRecord.class, record -> addJob(entry.key(), record));
+        Map<JobId, JobRecord> loaded = new LinkedHashMap<>();
+        readPage(
+                CellKeys.JOB_PREFIX,
+                "",
+                entry -> decode(entry, JobRecord.class, record -> loaded.put(jobId(entry.key()), record)),
+                () -> jobs = loaded);
+    }
+
+    /**
+     * Reads a page of a list and all pages after it. A page without an answer is read again alone; the pages before it
+     * need not, as the records do not change.
+     */
+    private void readPage(String prefix, String after, Consumer<KeyValueEntry> onEntry, Runnable onComplete) {
+        Runnable retry = () -> readPage(prefix, after, onEntry, onComplete);
+        read(new KeyValueRequest.ListPage(prefix, after), retry, result -> {
+            KeyValueResult.Listed page = (KeyValueResult.Listed) result;
+            page.entries().forEach(onEntry);
+            if (page.complete()) {
+                onComplete.run();
+            } else {
+                readPage(prefix, page.entries().get(page.entries().size() - 1).key(), onEntry, onComplete);
             }
         });
     }
 
-    private void addJob(String key, JobRecord record) {
-        jobs.put(new JobId(key.substring(CellKeys.JOB_PREFIX.length())), record);
+    private static JobId jobId(String key) {
+        return new JobId(key.substring(CellKeys.JOB_PREFIX.length()));
     }
 
     private void readProgress() {
-        read(new KeyValueRequest.ListPrefix(CellKeys.PROGRESS_PREFIX), this::readProgress, result -> {
-            progress = new LinkedHashMap<>();
-            for (KeyValueEntry entry : entries(result)) {
-                decode(entry, ProgressRecord.class, record -> addPart(entry.key(), record));
-            }
-        });
+        Map<JobId, Map<Integer, ProgressRecord>> loaded = new LinkedHashMap<>();
+        readPage(
+                CellKeys.PROGRESS_PREFIX,
+                "",
+                entry -> decode(entry, ProgressRecord.class, record -> addPart(entry.key(), record, loaded)),
+                () -> progress = loaded);
     }
 
-    private void addPart(String key, ProgressRecord record) {
+    private static void addPart(String key, ProgressRecord record, Map<JobId, Map<Integer, ProgressRecord>> loaded) {
         String name = key.substring(CellKeys.PROGRESS_PREFIX.length());
         int separator = name.indexOf(CellKeys.PART_SEPARATOR);
         JobId id = new JobId(separator < 0 ? name : name.substring(0, separator));
         int part = separator < 0 ? 0 : Integer.parseInt(name.substring(separator + 1));
-        progress.computeIfAbsent(id, each -> new TreeMap<>()).put(part, record);
+        loaded.computeIfAbsent(id, each -> new TreeMap<>()).put(part, record);
     }
 
     /** Decodes the record in an entry; one that cannot be read is left in the store and does not block the others. */
@@ -123,10 +139,6 @@
         }
     }
 
-    private static List<KeyValueEntry> entries(KeyValueResult result) {
-        return ((KeyValueResult.Listed) result).entries();
-    }
-
     private void read(KeyValueRequest request, Runnable retry, Consumer<KeyValueResult> onResult) {
         if (closed) {
             return;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import java.util.function.Predicate;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
@@ -50,6 +51,12 @@
 
     private Predicate<String> rejectedKeys = key -> false;
 
+    private int maxPageEntries = Integer.MAX_VALUE;
+
+    private IntPredicate failedPages = number -> false;
+
+    private int pageReads;
+
     private int largestTransactionBytes;
 
     private boolean unavailable;
@@ -74,6 +81,27 @@
         maxValueBytes = limit;
     }
 
+    /**
+     * Sets how many entries a page of a list has, and which calls for a page fail.
+     *
+     * @param maxEntries the number of entries
+     * @param failed tells by the number of the call, from 1, whether it fails
+     */
+    public void setPages(int maxEntries, IntPredicate failed) {
+        maxPageEntries = maxEntries;
+        failedPages = failed;
+        pageReads = 0;
+    }
+
+    /**
+     * Returns how many calls for a page there were since {@link #setPages}.
+     *
+     * @return the number of calls
+     */
+    public int pageReads() {
+        return pageReads;
+    }
+
     /**
      * Sets which keys the store does not accept in a transaction.
      *
@@ -217,6 +245,9 @@
             }
             return new KeyValueResult.Listed(entriesWithPrefix(list.prefix()), revision, true);
         }
+        if (request instanceof KeyValueRequest.ListPage page) {
+            return listPage(page);
+        }
         if (request instanceof KeyValueRequest.Watch watch) {
             if (watch.prefix().equals(unreadablePrefix) || watch.afterRevision() < historyStart) {
                 return noAnswer();
@@ -243,6 +274,18 @@
         return transact((KeyValueRequest.Transaction) request);
     }
 
+    private KeyValueResult listPage(KeyValueRequest.ListPage request) {
+        pageReads++;
+        if (request.prefix().equals(unreadablePrefix) || failedPages.test(pageReads)) {
+            return noAnswer();
+        }
+        List<KeyValueEntry> rest = entriesWithPrefix(request.prefix()).stream()
+                .filter(entry -> entry.key().compareTo(request.after()) > 0)
+                .toList();
+        List<KeyValueEntry> page = rest.subList(0, Math.min(rest.size(), maxPageEntries));
+        return new KeyValueResult.Listed(page, revision, page.size() == rest.size());
+    }
+
     private boolean exceedsLimits(KeyValueRequest.Transaction transaction) {
         int entryCount = transaction.conditions().size()
                 + transaction.writes().size()
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -53,8 +53,8 @@
     }
 
     boolean reachesStore(String host, KeyValueRequest request) {
-        boolean listsRecords = request instanceof KeyValueRequest.ListPrefix list
-                && list.prefix().startsWith(RECORD_PREFIX);
+        boolean listsRecords = request instanceof KeyValueRequest.ListPage page
+                && page.prefix().startsWith(RECORD_PREFIX);
         return !hostsWithoutStore.contains(host) && !(listsRecords && hostsWithoutRecords.contains(host));
     }
 
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpExchange.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -72,11 +73,21 @@
         for (HttpHeader header : request.headers()) {
             clientRequest.getRequestHeaders().put(HttpString.tryFromString(header.name()), header.value());
         }
-        timeoutTimer = ioThread.executeAfter(
-                () -> fail("http.wait", "no answer in time"), request.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        startTimer(request.timeout(), "no answer in time");
         connection.sendRequest(clientRequest, this);
     }
 
+    private void startTimer(Duration limit, String detail) {
+        timeoutTimer = ioThread.executeAfter(() -> fail("http.wait", detail), limit.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void onProgress() {
+        if (request.progressTimeout() != null && !ended) {
+            timeoutTimer.remove();
+            startTimer(request.progressTimeout(), "the answer stopped after " + responseBody.size() + " bytes");
+        }
+    }
+
     @Override
     public void completed(ClientExchange exchange) {
         exchange.setResponseListener(new ResponseListener());
@@ -125,6 +136,7 @@
                 onBodyReceived();
                 return;
             }
+            onProgress();
             channel.resumeReads();
         } catch (IOException e) {
             fail("http.receive", e.getMessage());
