Start a best-effort task slowly that would wait for good in an idle cell

Change: StarvedTaskPlanner, for a cell with less than half of the processor time reserved: a job that has had nothing at work for 2 s gets one task at a quarter of its speed, on the worker where the headroom is highest, one at a time per worker. The throttling goes on to protect the tasks beside it; such a run may stay paused for 6 s instead of 1.2 s before it is moved. Gate: slow-starts.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -111,6 +111,8 @@
 
     private Instant throttledAt = Instant.MIN;
 
+    private boolean slowStart;
+
     Run(Task task, WorkerState worker, int number, Instant placedAt) {
         this.task = task;
         this.worker = worker;
@@ -374,6 +376,15 @@
         return throttledToPercent;
     }
 
+    /** Returns whether the run was started at the lowest speed since no worker could take it at full speed. */
+    boolean slowStart() {
+        return slowStart;
+    }
+
+    void markSlowStart() {
+        slowStart = true;
+    }
+
     Instant throttledAt() {
         return throttledAt;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -244,6 +244,8 @@
             workerRegistry.pollSoon(run.worker());
         } else if (!run.task().job().open()) {
             orderSender.stop(run);
+        } else if (run.slowStart()) {
+            orderSender.throttle(run, ThrottleController.LOWEST_SPEED_PERCENT);
         }
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -51,6 +51,8 @@
 
     private final IsolationPlanner isolationPlanner;
 
+    private final StarvedTaskPlanner starvedTaskPlanner;
+
     private final RackWaitPlanner rackWaits;
 
     private final CopyPlanner copyPlanner;
@@ -96,6 +98,7 @@
         this.rackWaits = rackWaits;
         this.copyPlanner = copyPlanner;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
+        this.starvedTaskPlanner = new StarvedTaskPlanner(placementPolicy);
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
 
@@ -146,6 +149,7 @@
             placeJob(job, timeOfDayMillis, failures, pass, now);
         }
         placeCopies(pass, now);
+        placeStarved(pass, timeOfDayMillis, now);
         scheduleRackDecision(now);
     }
 
@@ -271,6 +275,24 @@
         }
     }
 
+    /** Places best-effort tasks of jobs that have nothing at work although the cell has capacity. */
+    private void placeStarved(PlacementPass pass, long timeOfDayMillis, Instant now) {
+        if (!context.gates().on(FeatureGate.SLOW_STARTS)) {
+            return;
+        }
+        for (Task task : starvedTaskPlanner.selectTasks(jobs.open(), pass, timeOfDayMillis, now)) {
+            PlacementCandidate candidate = starvedTaskPlanner.chooseWorker(task, pass, now);
+            if (candidate != null) {
+                Run run = place(task, candidate, now);
+                run.markSlowStart();
+                candidate.refresh();
+                LOGGER.atInfo().log(
+                        "event=slow_start task=%s run=%d worker=%s",
+                        task.ref(), run.number(), candidate.worker().id());
+            }
+        }
+    }
+
     /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
     private void placeInIsolation(PlacementPass pass, Instant now) {
         for (Task task : crashAttribution.tasksAwaitingIsolation(now)) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -29,12 +29,14 @@
      */
     static final double TARGET_HEADROOM = 1.4;
 
+    static final int LOWEST_SPEED_PERCENT = 25;
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private static final int FULL_SPEED_PERCENT = 100;
 
     /** Speeds in percent at which a best-effort task may run; below the lowest it is paused. */
-    private static final int[] SPEED_LEVELS = {FULL_SPEED_PERCENT, 50, 25};
+    private static final int[] SPEED_LEVELS = {FULL_SPEED_PERCENT, 50, LOWEST_SPEED_PERCENT};
 
     /**
      * A latency-critical task whose measurements have all missed the target for this long counts as missing it,
@@ -55,6 +57,9 @@
     /** How long a task may be paused before it is moved to another worker. */
     private static final Duration MAX_PAUSE_DURATION = Duration.ofMillis(1_200);
 
+    /** The same for a task that no other worker could take either; the load of the tasks beside it varies over seconds. */
+    private static final Duration MAX_PAUSE_AFTER_SLOW_START = Duration.ofSeconds(6);
+
     private final WorkerOrderSender orderSender;
 
     private final InterferenceEstimator interference;
@@ -172,15 +177,23 @@
      * lowest speed.
      */
     private boolean mustMove(Run bestEffort, Collection<Run> latencyCriticalRuns) {
-        int lowest = SPEED_LEVELS[SPEED_LEVELS.length - 1];
+        if (bestEffort.slowStart()) {
+            return false;
+        }
         return latencyCriticalRuns.stream()
                 .filter(latencyCritical -> interference.isCostKnown(
                         latencyCritical, bestEffort.task().step().spec()))
                 .anyMatch(latencyCritical -> interference.baseline(latencyCritical)
-                                - interference.fullSpeedCost(latencyCritical, bestEffort) * lowest / FULL_SPEED_PERCENT
+                                - interference.fullSpeedCost(latencyCritical, bestEffort)
+                                        * LOWEST_SPEED_PERCENT
+                                        / FULL_SPEED_PERCENT
                         < TARGET_HEADROOM);
     }
 
+    private static Duration maxPause(Run bestEffort) {
+        return bestEffort.slowStart() ? MAX_PAUSE_AFTER_SLOW_START : MAX_PAUSE_DURATION;
+    }
+
     private void applyLevel(Run bestEffort, int level, Instant now) {
         boolean isRaise = level > bestEffort.throttledToPercent() && bestEffort.throttledToPercent() >= 0;
         if (isRaise && now.isBefore(bestEffort.throttledAt().plus(MIN_RAISE_INTERVAL))) {
@@ -188,7 +201,7 @@
         }
         if (level == 0
                 && bestEffort.throttledToPercent() == 0
-                && !now.isBefore(bestEffort.throttledAt().plus(MAX_PAUSE_DURATION))) {
+                && !now.isBefore(bestEffort.throttledAt().plus(maxPause(bestEffort)))) {
             stopToMove(bestEffort);
             return;
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -29,6 +29,8 @@
 
     private static final long REPORT_MILLIS = 1_500;
 
+    private static final int FULL_SPEED_PERCENT = 100;
+
     private final String name;
 
     private final Resources capacity;
@@ -37,6 +39,9 @@
 
     private final Map<TaskRef, Integer> running = new LinkedHashMap<>();
 
+    /** The speed in percent of each task that was started. */
+    private final Map<TaskRef, Integer> speeds = new LinkedHashMap<>();
+
     private final Map<TaskRef, Integer> highestRuns = new LinkedHashMap<>();
 
     private final List<RunEnd> ended = new ArrayList<>();
@@ -318,6 +323,16 @@
         return Set.copyOf(running.keySet());
     }
 
+    /**
+     * Returns the speed of a task that was started.
+     *
+     * @param task the task
+     * @return the speed in percent
+     */
+    public int speed(TaskRef task) {
+        return speeds.get(task);
+    }
+
     /**
      * Returns the runs that were started, also by former incarnations.
      *
@@ -413,6 +428,8 @@
             if (running.getOrDefault(stop.task(), -1) == stop.run()) {
                 end(stop.task(), EndKind.STOPPED);
             }
+        } else if (order instanceof WorkerOrder.Pace pace) {
+            speeds.put(pace.task(), pace.percent());
         } else if (order instanceof WorkerOrder.Hold hold) {
             extendLease(hold.leaseEndMillis(), clockMillis);
             ended.removeIf(end -> end.sequenceNumber() <= hold.acknowledged());
@@ -455,6 +472,7 @@
         }
         highestRuns.put(start.task(), start.run());
         running.put(start.task(), start.run());
+        speeds.put(start.task(), FULL_SPEED_PERCENT);
         startMillis.put(start.task(), clockMillis);
         started.add(start.task() + "/" + start.run());
         if (deadlyTasks.test(start.task())) {
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -0,0 +1,130 @@
+package org.flamingopitch.scheduler.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.entry.CallerReply;
+import org.flamingopitch.scheduler.cell.feature.FeatureGate;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
+import org.flamingopitch.scheduler.cell.model.EndKind;
+import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.JobState;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
+import org.flamingopitch.scheduler.cell.model.TaskRef;
+import org.flamingopitch.scheduler.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A best-effort task that slows the tasks of every worker must not wait for good while most capacity is free. */
+final class StarvedBestEffortTaskTest {
+
+    private static final int WORKERS = 4;
+
+    private static final String HEAVY_JOB = "00000000000000bb";
+
+    /** Shows the latency-critical tasks at half of their target, as the workers report 1 ms. */
+    private static final double TARGET_MILLIS = 2;
+
+    private static final String LEARNED = "{\"responses\":[{\"serving\":\"service\",\"baseline\":2.0,"
+            + "\"costs\":[{\"filling\":\"heavy\",\"slack\":12.0,\"variance\":0.01}]}]}";
+
+    private final CellSession session = new CellSession();
+
+    @BeforeEach
+    void startCell() {
+        for (int i = 0; i < WORKERS; i++) {
+            session.addWorker("w" + i, 16_000).setReportedPercent(100);
+        }
+        session.store().write("flamingopitch/learned", LEARNED);
+        session.addHost("h1");
+        session.advance(Duration.ofSeconds(3));
+    }
+
+    /** Starts a latency-critical task on each worker. */
+    private void startLatencyCriticalTasks(long milliCores) {
+        StepSpec step = new StepSpecBuilder()
+                .count(WORKERS)
+                .demand(new Resources(milliCores, 100, 0))
+                .lasting(true)
+                .image("service")
+                .targetMillis(TARGET_MILLIS)
+                .maxPerWorker(1)
+                .build();
+        JobSpec spec = new JobSpec("work", List.of(step), 0, 0, 0);
+        session.call("h1", new CallerOperation.Submit(spec), "/q/00000000000000aa");
+        session.advance(Duration.ofSeconds(2));
+        for (int i = 0; i < WORKERS; i++) {
+            assertThat(session.worker("w" + i).running()).hasSize(1);
+        }
+    }
+
+    private void submitHeavyJob() {
+        JobSpec spec = new JobSpec("work", List.of(SampleSteps.bestEffort("heavy", 3_000)), 0, 0, 0);
+        session.call("h1", new CallerOperation.Submit(spec), "/q/" + HEAVY_JOB);
+    }
+
+    private FakeWorker workerOf(TaskRef task) {
+        for (int i = 0; i < WORKERS; i++) {
+            if (session.worker("w" + i).running().contains(task)) {
+                return session.worker("w" + i);
+            }
+        }
+        throw new AssertionError(task + " does not run");
+    }
+
+    @Test
+    void taskThatSlowsTheTasksOfEveryWorkerIsStartedSlowlyInACellWithFreeCapacity() {
+        startLatencyCriticalTasks(7_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1);
+        TaskRef task = session.running(HEAVY_JOB).get(0);
+        assertThat(workerOf(task).speed(task)).isLessThanOrEqualTo(25);
+        workerOf(task).end(task, EndKind.DONE);
+        session.advance(Duration.ofSeconds(1));
+        List<CallerReply> state = session.call("h1", new CallerOperation.Ask(), "/q/" + HEAVY_JOB);
+        session.advance(Duration.ofMillis(100));
+        assertThat(state).containsExactly(new CallerReply.State(JobState.DONE));
+    }
+
+    /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
+    @Test
+    void taskWaitsWhileMostCapacityIsReserved() {
+        startLatencyCriticalTasks(12_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(6));
+        assertThat(session.running(HEAVY_JOB)).isEmpty();
+    }
+
+    @Test
+    void taskWaitsIfTheGateIsOff() {
+        session.setGates(FeatureGates.without(FeatureGate.SLOW_STARTS));
+        session.killHost("h1");
+        session.store().endLeases();
+        session.addHost("h1");
+        session.advance(Duration.ofSeconds(3));
+        startLatencyCriticalTasks(7_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(6));
+        assertThat(session.running(HEAVY_JOB)).isEmpty();
+    }
+
+    @Test
+    void taskIsNeverWithoutARunForLong() {
+        startLatencyCriticalTasks(7_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(3));
+        List<Integer> idleTicks = new ArrayList<>();
+        int idle = 0;
+        for (int i = 0; i < 400; i++) {
+            session.advance(Duration.ofMillis(100));
+            idle = session.running(HEAVY_JOB).isEmpty() ? idle + 1 : 0;
+            idleTicks.add(idle);
+        }
+        assertThat(idleTicks).allMatch(ticks -> ticks < 29);
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -0,0 +1,81 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A slow start must be limited to jobs that would wait for good, or it takes the headroom of others. */
+final class StarvedTaskPlannerTest {
+
+    private static final Duration LONG = Duration.ofSeconds(3);
+
+    private final Instant now = OwnerFixtures.NOW;
+
+    private final PlacementPolicy placementPolicy =
+            new PlacementPolicy(new WorkerHealth(), new InterferenceEstimator());
+
+    private final StarvedTaskPlanner planner = new StarvedTaskPlanner(placementPolicy);
+
+    private final WorkerState worker = OwnerFixtures.worker("w", 16_000);
+
+    private Job job(Duration age) {
+        return OwnerFixtures.job("j", OwnerFixtures.bestEffortStep("i", 2, 1_000, 1_000), now.minus(age));
+    }
+
+    private List<Task> select(Job... jobs) {
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
+        return planner.selectTasks(List.of(jobs), pass, now.toEpochMilli(), now);
+    }
+
+    private void reserve(long milliCores) {
+        Job service = OwnerFixtures.job("s", OwnerFixtures.latencyCriticalStep("s", milliCores, 10), now);
+        OwnerFixtures.run(OwnerFixtures.task(service), worker, 5);
+    }
+
+    @Test
+    void oneTaskOfAnIdleJobIsSelected() {
+        Job job = job(LONG);
+        assertThat(select(job)).containsExactly(OwnerFixtures.task(job));
+    }
+
+    @Test
+    void jobThatHasJustComeWaits() {
+        assertThat(select(job(Duration.ofSeconds(1)))).isEmpty();
+    }
+
+    @Test
+    void jobWithATaskAtWorkWaits() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), worker, 1);
+        assertThat(select(job)).isEmpty();
+    }
+
+    @Test
+    void jobWhoseLastTaskHasJustEndedWaits() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), worker, 1).release(now.minusMillis(500));
+        assertThat(select(job)).isEmpty();
+    }
+
+    @Test
+    void jobInALoadedCellWaits() {
+        reserve(8_000);
+        assertThat(select(job(LONG))).isEmpty();
+    }
+
+    @Test
+    void jobInACellThatIsLessThanHalfLoadedIsSelected() {
+        reserve(7_900);
+        assertThat(select(job(LONG))).hasSize(1);
+    }
+
+    @Test
+    void workerThatWouldTakeTheTaskAtFullSpeedIsNotChosen() {
+        Job job = job(LONG);
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
+        assertThat(planner.chooseWorker(OwnerFixtures.task(job), pass, now)).isNull();
+    }
+}
