Deny a job only if the store has confirmed the ownership since the request

The host had owned the cell; the store turned it away, another process owned the cell and had accepted the job. An owner answered for unknown jobs from memory, whether or not it was still the owner.

Change: a cancel or a state query for an unknown job waits until a call confirms the ownership that was sent after the request came, 1 s at most; then the outcome is unknown and the caller's host asks again. One call at a time serves all such requests; known jobs need none. A host whose owner has not been confirmed for 4 s and does not reach the store is not ready. The listener of the election and the refusals move to files of their own.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -11,6 +11,7 @@
 import org.flamingopitch.scheduler.cell.owner.CellOwner;
 import org.flamingopitch.scheduler.cell.owner.CellTimings;
 import org.flamingopitch.scheduler.cell.owner.Election;
+import org.flamingopitch.scheduler.cell.owner.ElectionListener;
 import org.flamingopitch.scheduler.cell.owner.FormerOwner;
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
@@ -21,7 +22,7 @@
  * The scheduling core of a host. It handles callers' requests and takes part in the election of the cell's owner; while
  * this process holds the owner's key in the store, it runs the cell.
  */
-public final class CellNode implements Election.Listener {
+public final class CellNode implements ElectionListener {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -222,10 +223,13 @@
     /**
      * Returns whether callers may be sent to this host.
      *
-     * @return whether the host isn't draining, has a configuration, and knows the cell's owner or reaches the store
+     * @return whether the host isn't draining, has a configuration, and knows the cell's owner or reaches the store; an
+     *     owner, whether the store has confirmed its ownership lately
      */
     public boolean ready() {
-        boolean reachable = election.owner().isPresent() || !election.storeUnreachable();
+        boolean reachable = ownedCell == null
+                ? election.owner().isPresent() || !election.storeUnreachable()
+                : ownedCell.mayAct() || !election.storeUnreachable();
         return !draining && requestHandler.configuration().isPresent() && reachable;
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -20,7 +20,6 @@
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
-import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
  * The cell from the election of this process as its owner until the end of that ownership: loads the records of former
@@ -53,6 +52,8 @@
 
     private final PendingAnswers pendingAnswers = new PendingAnswers();
 
+    private final UnconfirmedRequests unconfirmedRequests = new UnconfirmedRequests();
+
     private final JobRefusals refusals;
 
     private final WorkerRegistry workerRegistry;
@@ -168,6 +169,7 @@
         waitingRequests.forEach(each -> each.answer().accept(new JobAnswer.NotOwner()));
         waitingRequests.clear();
         pendingAnswers.close();
+        unconfirmedRequests.close();
     }
 
     /**
@@ -212,18 +214,48 @@
             waitingRequests.add(new WaitingRequest(request, answer));
             return;
         }
+        execute(request, context.now(), answer);
+    }
+
+    private void execute(JobRequest request, Instant receivedAt, Consumer<JobAnswer> answer) {
         if (request instanceof JobRequest.Submit submit) {
             submit(submit, answer);
         } else if (request instanceof JobRequest.Cancel cancel) {
-            cancel(cancel.id(), answer);
+            Job job = jobs.job(cancel.id());
+            if (job == null) {
+                denyJob(cancel, receivedAt, answer);
+            } else {
+                cancel(job, answer);
+            }
         } else if (request instanceof JobRequest.AskState ask) {
             Job job = jobs.job(ask.id());
-            answer.accept(job == null ? new JobAnswer.Unknown() : new JobAnswer.State(job.visibleState()));
+            if (job == null) {
+                denyJob(ask, receivedAt, answer);
+            } else {
+                answer.accept(new JobAnswer.State(job.visibleState()));
+            }
         } else if (request instanceof JobRequest.AskPending pending) {
             answer.accept(new JobAnswer.Pending(load.countPendingJobs(pending.queue())));
         }
     }
 
+    /** Answers that there is no such job, if the store has confirmed the ownership since the request came. */
+    private void denyJob(JobRequest request, Instant receivedAt, Consumer<JobAnswer> answer) {
+        if (election.confirmedAt().isBefore(receivedAt)) {
+            unconfirmedRequests.add(request, receivedAt, answer);
+            election.confirmSoon();
+        } else {
+            answer.accept(new JobAnswer.Unknown());
+        }
+    }
+
+    private void releaseConfirmedRequests() {
+        unconfirmedRequests.release(election.confirmedAt(), context.now(), this::execute);
+        if (!unconfirmedRequests.isEmpty()) {
+            election.confirmSoon();
+        }
+    }
+
     /** Polls workers, places tasks and sends commits that are due. Called after each event and at regular intervals. */
     public void tick() {
         if (closed) {
@@ -232,6 +264,7 @@
         if (commitLog == null) {
             return;
         }
+        releaseConfirmedRequests();
         workerRegistry.tick(mayAct());
         runManager.tick();
         commitLog.sendIfDue();
@@ -265,8 +298,12 @@
         return jobs.open().size();
     }
 
-    /** Returns whether the store has confirmed the ownership recently enough to start tasks and to extend leases. */
-    private boolean mayAct() {
+    /**
+     * Returns whether the store has confirmed the ownership recently enough to start tasks and to extend leases.
+     *
+     * @return whether this owner may act
+     */
+    public boolean mayAct() {
         return context.now().isBefore(election.confirmedAt().plus(MAX_UNCONFIRMED_TIME));
     }
 
@@ -310,7 +347,7 @@
 
     private void submit(JobRequest.Submit submit, Consumer<JobAnswer> answer) {
         Job existing = jobs.job(submit.id());
-        Optional<String> unsupportedFeature = unsupportedFeature(submit);
+        Optional<String> unsupportedFeature = JobRefusals.unsupportedFeature(submit);
         if (existing != null) {
             answerWhenDurable(existing, new JobAnswer.Accepted(), answer);
         } else if (unsupportedFeature.isPresent()) {
@@ -330,7 +367,7 @@
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
         AdmissionDecision decision =
                 context.gates().on(FeatureGate.ADMISSION) ? decide(submit, sizeClass) : AdmissionPolicy.admit();
-        recordDecision(submit, decision);
+        refusals.recordDecision(submit, decision);
         if (!decision.admitted()) {
             shares.onRejected(submit.id(), queue, submit.spec(), sizeClass, context.now());
             answer.accept(new JobAnswer.Refused(decision.retryDelay(), "too much work waits"));
@@ -368,40 +405,9 @@
                 context.now());
     }
 
-    /** Counts a decision on a submission, and logs it if the job is rejected. */
-    private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
-        OwnerMetrics metrics = context.metrics();
-        metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
-        if (decision.inputs().workAhead() > 0) {
-            metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
-        }
-        if (!decision.admitted()) {
-            LOGGER.atInfo().log(
-                    "event=refused job=%s queue=%s %s work_core_ms=%d",
-                    submit.id(),
-                    submit.queue().name(),
-                    decision.logFields(),
-                    submit.spec().estimatedWork() / MILLICORES_PER_CORE);
-        }
-    }
-
-    /** Returns the feature that a job needs and that is not supported, if any; such a job is refused. */
-    private static Optional<String> unsupportedFeature(JobRequest.Submit submit) {
-        if (submit.queue().advised()) {
-            return Optional.of("queues with a policy service are not served");
-        }
-        boolean gang = submit.spec().steps().stream().anyMatch(step -> step.gang() && step.count() > 1);
-        return gang ? Optional.of("gangs are not served") : Optional.empty();
-    }
-
-    private void cancel(JobId id, Consumer<JobAnswer> answer) {
-        Job job = jobs.job(id);
-        if (job == null) {
-            answer.accept(new JobAnswer.Unknown());
-            return;
-        }
+    private void cancel(Job job, Consumer<JobAnswer> answer) {
         if (job.open()) {
-            LOGGER.atInfo().log("event=cancelled job=%s", id);
+            LOGGER.atInfo().log("event=cancelled job=%s", job.id());
             runManager.endJob(job, JobState.CANCELLED);
         }
         answerWhenDurable(job, new JobAnswer.Cancelled(), answer);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -35,7 +35,7 @@
 
     private final OwnerRecord self;
 
-    private final Listener listener;
+    private final ElectionListener listener;
 
     private final StoreWatcher watcher;
 
@@ -58,6 +58,8 @@
 
     private Instant confirmedAt = Instant.MIN;
 
+    private int renewalsInFlight;
+
     /** Calls sent before this time confirm nothing, as this process was suspended since. */
     private Instant suspendedUntil = Instant.MIN;
 
@@ -79,7 +81,7 @@
      * @param self the record that this process writes when it is elected
      * @param listener is notified of changes of the ownership
      */
-    public Election(LoopContext context, OwnerRecord self, Listener listener) {
+    public Election(LoopContext context, OwnerRecord self, ElectionListener listener) {
         this.context = context;
         this.self = self;
         this.listener = listener;
@@ -447,10 +449,19 @@
         }
     }
 
+    /** Asks the store at once to confirm the ownership, unless such a call is under way. */
+    public void confirmSoon() {
+        if (owning() && renewalsInFlight == 0) {
+            renew();
+        }
+    }
+
     private void renew() {
         long version = ownedVersion;
         Instant sentAt = context.now();
+        renewalsInFlight++;
         context.callStore(new KeyValueRequest.RenewLease(leaseId), result -> {
+            renewalsInFlight--;
             if (ownedVersion != version) {
                 return;
             }
@@ -463,32 +474,4 @@
             }
         });
     }
-
-    /** Is notified of changes of the ownership. */
-    public interface Listener {
-
-        /**
-         * This process was elected as owner.
-         *
-         * @param version the version of the owner's key, which serves as fencing token
-         */
-        void elected(long version);
-
-        /**
-         * The last owner before this process is known.
-         *
-         * @param formerOwner the owner
-         */
-        void formerOwnerIdentified(FormerOwner formerOwner);
-
-        /**
-         * This process no longer owns the cell.
-         *
-         * @param cause the reason, for the log
-         */
-        void deposed(String cause);
-
-        /** The record under the owner's key changed or was removed. */
-        void ownerChanged();
-    }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -231,7 +231,7 @@
         return new KeyValueEntry(CellKeys.OWNER, JsonCodec.compact().encode(owner), version);
     }
 
-    private static final class RecordingListener implements Election.Listener {
+    private static final class RecordingListener implements ElectionListener {
 
         private int electedVersions;
 
