Do not store the failed runs of long-running tasks

Cause: each failure of a long-running task added the number of its run to the stored record of the job for good, although such tasks have no limit of attempts.

Change: the failed runs of long-running tasks are neither kept nor restored.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -95,7 +95,7 @@
     private static void restoreTask(Job job, Task task, TaskRecord record, WorkerRegistry workerRegistry, Instant now) {
         job.markStarted();
         task.restoreLastRunNumber(record.run());
-        task.failedRuns().addAll(record.failedRuns());
+        record.failedRuns().forEach(task::restoreFailure);
         record.crashedRuns().forEach(number -> task.addCrash(number, true));
         record.possiblyCrashedRuns().forEach(number -> task.addCrash(number, false));
         task.updateCheckpoint(record.checkpoint());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -235,10 +235,15 @@
     }
 
     void addFailure(int number, WorkerId worker) {
-        if (!failedRuns.contains(number)) {
+        restoreFailure(number);
+        avoid(worker);
+    }
+
+    /** Adds a failed run to those that limit the attempts; a long-running task has no limit. */
+    void restoreFailure(int number) {
+        if (!step.spec().lasting() && !failedRuns.contains(number)) {
             failedRuns.add(number);
         }
-        avoid(worker);
     }
 
     List<Integer> crashedRuns() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -58,6 +58,8 @@
 
     private int maxEndsPerReport = Integer.MAX_VALUE;
 
+    private String checkpoint = "";
+
     private boolean unresponsive;
 
     private boolean startsLost;
@@ -166,6 +168,15 @@
         return address;
     }
 
+    /**
+     * Sets the checkpoint of the runs that end.
+     *
+     * @param value the checkpoint, empty for none
+     */
+    public void setCheckpoint(String value) {
+        checkpoint = value;
+    }
+
     /**
      * Sets how many ends a report lists; the next ones are listed once these are acknowledged.
      *
@@ -310,7 +321,7 @@
         Integer run = running.remove(task);
         if (run != null) {
             lastEndNumber++;
-            ended.add(new RunEnd(lastEndNumber, task, run, kind, ""));
+            ended.add(new RunEnd(lastEndNumber, task, run, kind, checkpoint));
         }
     }
 
