--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -101,7 +101,7 @@
                     continue;
                 }
                 for (Task task : step.tasks()) {
-                    if (task.waiting(now)) {
+                    if (task.waiting(now) || task.awaitsIsolation(now)) {
                         return task;
                     }
                 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -41,6 +41,17 @@
         assertThat(select(job)).containsExactly(OwnerFixtures.task(job));
     }
 
+    /** A task that may crash workers was looked for only among those that need no isolation. */
+    @Test
+    void taskThatNeedsIsolationIsSelected() {
+        Job job = OwnerFixtures.job("j", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000), now.minus(LONG));
+        Task task = OwnerFixtures.task(job);
+        task.addCrash(1, true);
+        task.addCrash(2, true);
+        assertThat(task.awaitsIsolation(now)).isTrue();
+        assertThat(select(job)).containsExactly(task);
+    }
+
     @Test
     void jobThatHasJustComeWaits() {
         assertThat(select(job(Duration.ofSeconds(1)))).isEmpty();
