Bound the learned statistics of images

Change: 64 latency-critical images with 32 best-effort images each; the one that was used or measured least recently is forgotten.

Result: LearnedRecordTest.recordOfManyImagesIsBounded (900 and 500 images, also more at a time than are kept) passes; it was written with the bound. 21 tests of the affected classes pass.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceEstimator.java
@@ -64,7 +64,15 @@
     /** Speed of a best-effort task that is not throttled, and progress of a long-running task that is at work. */
     private static final int FULL_PERCENT = 100;
 
-    private final Map<String, InterferenceModel> models = new LinkedHashMap<>();
+    /** Bounds the memory and the stored record; the latency-critical image used least recently is forgotten. */
+    private static final int MAX_MODELS = 64;
+
+    private final Map<String, InterferenceModel> models = new LinkedHashMap<>(16, 0.75F, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, InterferenceModel> eldest) {
+            return size() > MAX_MODELS;
+        }
+    };
 
     /** Updates the estimates with a worker's newest measurements. */
     void update(WorkerState worker, Instant now) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
@@ -12,6 +12,9 @@
  */
 final class InterferenceModel {
 
+    /** Bounds the memory, the time of an update and the stored record; the image updated least recently is replaced. */
+    static final int MAX_IMAGES = 32;
+
     /** Assumed headroom ratio of an image without interference, before any measurement; real images have 1.7 to 3.6. */
     private static final double INITIAL_BASELINE = 2.4;
 
@@ -36,6 +39,11 @@
 
     private final Map<String, Integer> indexByImage = new LinkedHashMap<>();
 
+    /** For each image, the number of the update in which it was measured last. */
+    private final List<Long> lastUpdates = new ArrayList<>();
+
+    private long updateCount;
+
     private final List<Double> means = new ArrayList<>();
 
     private final List<List<Double>> covariances = new ArrayList<>();
@@ -91,9 +99,16 @@
      * @param variance the variance of the difference between the two headroom ratios
      */
     void updateCosts(double headroomAlone, double headroom, Map<String, Double> shares, double variance) {
-        shares.keySet().forEach(image -> indexByImage.computeIfAbsent(image, key -> addImage()));
+        updateCount++;
+        shares.keySet().forEach(image -> lastUpdates.set(index(image), updateCount));
         double[] weights = new double[means.size()];
-        shares.forEach((image, share) -> weights[indexByImage.get(image)] = share);
+        shares.forEach((image, share) -> {
+            // With more images than are kept at a time, the first ones have been replaced.
+            Integer index = indexByImage.get(image);
+            if (index != null) {
+                weights[index] = share;
+            }
+        });
         double predicted = 0;
         for (int i = 0; i < weights.length; i++) {
             predicted += weights[i] * means.get(i);
@@ -117,7 +132,7 @@
     void restore(LearnedRecord.Response record) {
         baseline = record.baseline();
         for (LearnedRecord.Cost cost : record.costs()) {
-            int index = indexByImage.computeIfAbsent(cost.filling(), key -> addImage());
+            int index = index(cost.filling());
             means.set(index, cost.slack());
             covariances.get(index).set(index, cost.variance());
         }
@@ -141,9 +156,35 @@
         }
     }
 
+    private int index(String image) {
+        Integer known = indexByImage.get(image);
+        if (known != null) {
+            return known;
+        }
+        int index = means.size() < MAX_IMAGES ? addImage() : forgetOldestImage();
+        indexByImage.put(image, index);
+        return index;
+    }
+
+    private int forgetOldestImage() {
+        String oldest = null;
+        for (String image : indexByImage.keySet()) {
+            boolean older = oldest == null
+                    || lastUpdates.get(indexByImage.get(image)) < lastUpdates.get(indexByImage.get(oldest));
+            oldest = older ? image : oldest;
+        }
+        int index = indexByImage.remove(oldest);
+        means.set(index, INITIAL_COST);
+        covariances.get(index).replaceAll(covariance -> 0.0);
+        covariances.forEach(row -> row.set(index, 0.0));
+        covariances.get(index).set(index, INITIAL_COST_VARIANCE);
+        return index;
+    }
+
     private int addImage() {
         int index = means.size();
         means.add(INITIAL_COST);
+        lastUpdates.add(0L);
         covariances.forEach(row -> row.add(0.0));
         List<Double> row = new ArrayList<>();
         for (int i = 0; i < index; i++) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/LearnedRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/LearnedRecordTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.flamingopitch.coordination.api.JsonCodec;
@@ -55,6 +56,44 @@
         assertThat(successor.distribution(queue).runs()).isEqualTo(700);
     }
 
+    /** Images come and go; a record of all of them would reach the size that the store rejects. */
+    @Test
+    void recordOfManyImagesIsBounded() {
+        InterferenceEstimator estimator = new InterferenceEstimator();
+        for (int i = 0; i < 300; i++) {
+            WorkerState worker = OwnerFixtures.worker("w" + i, 16_000);
+            for (int j = 0; j < 3; j++) {
+                Job filler = OwnerFixtures.job(
+                        "f" + i + "." + j,
+                        OwnerFixtures.bestEffortStep("filler" + (3 * i + j), 1, 4_000, 60_000),
+                        OwnerFixtures.NOW);
+                OwnerFixtures.run(OwnerFixtures.task(filler), worker, 1);
+            }
+            Job service = OwnerFixtures.job(
+                    "s" + i, OwnerFixtures.latencyCriticalStep("service" + i % 100, 1_000, 2), OwnerFixtures.NOW);
+            OwnerFixtures.run(OwnerFixtures.task(service), worker, 1);
+            estimator.update(worker, OwnerFixtures.NOW);
+        }
+        LearnedRecord record = new LearnedRecord(List.of(), estimator.records(), List.of());
+        assertThat(JsonCodec.compact().encode(record).length()).isLessThan(TransactionBuilder.MAX_BYTES);
+        assertThat(record.responses())
+                .extracting(LearnedRecord.Response::serving)
+                .contains("service99");
+        InterferenceModel model = new InterferenceModel();
+        for (int i = 0; i < 500; i++) {
+            model.updateCosts(2.4, 0.9, Map.of("heavy" + i, 0.1), 0.25);
+        }
+        assertThat(model.toRecord("web").costs()).hasSize(InterferenceModel.MAX_IMAGES);
+        assertThat(model.isCostKnown("heavy499")).isTrue();
+        assertThat(model.isCostKnown("heavy0")).isFalse();
+        Map<String, Double> manyShares = new LinkedHashMap<>();
+        for (int i = 0; i < 2 * InterferenceModel.MAX_IMAGES; i++) {
+            manyShares.put("tiny" + i, 0.01);
+        }
+        model.updateCosts(2.4, 0.9, manyShares, 0.25);
+        assertThat(model.toRecord("web").costs()).hasSize(InterferenceModel.MAX_IMAGES);
+    }
+
     @Test
     void recordWithoutADistributionIsRead() {
         LearnedRecord decoded =
