Reject jobs whose definition is too large for a transaction

Cause: a job may have 10,000 steps with names and predecessors of any number; its record was stored whatever its size. Above 1 MB the store rejects it, and above some 600 KB a link of 7 Mbit/s does not carry it within the time of a call, so that the commit would be repeated without end (by reading and arithmetic).

Change: a job of more than about 250,000 bytes, or with a name of more than 200 bytes, is answered 400 at once, with its size and the limit.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
@@ -1,6 +1,8 @@
 package org.flamingopitch.scheduler.cell.model;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -18,6 +20,17 @@
     /** The maximum number of tasks of a job over all its repetitions. */
     public static final int MAX_TASKS = 10_000;
 
+    /** The maximum estimated size of the stored job in bytes: a slow link must carry it within the time of a call. */
+    private static final long MAX_BYTES = 250_000;
+
+    /** The size of a stored step without its texts and predecessors, and of a stored predecessor. */
+    private static final int STEP_BYTES = 450;
+
+    private static final int PREDECESSOR_BYTES = 6;
+
+    /** Names of images are also stored with what is learned of them, for many images in one record. */
+    private static final int MAX_NAME_BYTES = 200;
+
     /**
      * Sets defaults for values that a stored record omits.
      */
@@ -116,6 +129,29 @@
             }
             tasks += step.count();
         }
-        return tasks * occurrences() > MAX_TASKS ? "more than " + MAX_TASKS + " tasks" : null;
+        return tasks * occurrences() > MAX_TASKS ? "more than " + MAX_TASKS + " tasks" : sizeError();
+    }
+
+    private String sizeError() {
+        long bytes = byteCount(payload);
+        for (int i = 0; i < steps.size(); i++) {
+            StepSpec step = steps.get(i);
+            for (String name : Arrays.asList(step.requiredLabel(), step.preferredRack(), step.image())) {
+                long nameBytes = byteCount(name);
+                if (nameBytes > MAX_NAME_BYTES) {
+                    return "steps[" + i + "] has a name of " + nameBytes + " bytes, at most " + MAX_NAME_BYTES
+                            + " are allowed";
+                }
+                bytes += nameBytes;
+            }
+            bytes += STEP_BYTES + (long) PREDECESSOR_BYTES * step.after().size();
+        }
+        return bytes > MAX_BYTES
+                ? "the job has about " + bytes + " bytes, at most " + MAX_BYTES + " are allowed"
+                : null;
+    }
+
+    private static long byteCount(String text) {
+        return text == null ? 0 : text.getBytes(StandardCharsets.UTF_8).length;
     }
 }
