--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -20,6 +20,7 @@
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
  * The cell from the election of this process as its owner until the end of that ownership: loads the records of former
@@ -258,10 +259,7 @@
 
     /** Polls workers, places tasks and sends commits that are due. Called after each event and at regular intervals. */
     public void tick() {
-        if (closed) {
-            return;
-        }
-        if (commitLog == null) {
+        if (closed || commitLog == null) {
             return;
         }
         releaseConfirmedRequests();
@@ -367,7 +365,7 @@
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
         AdmissionDecision decision =
                 context.gates().on(FeatureGate.ADMISSION) ? decide(submit, sizeClass) : AdmissionPolicy.admit();
-        refusals.recordDecision(submit, decision);
+        recordDecision(submit, decision);
         if (!decision.admitted()) {
             shares.onRejected(submit.id(), queue, submit.spec(), sizeClass, context.now());
             answer.accept(new JobAnswer.Refused(decision.retryDelay(), "too much work waits"));
@@ -405,6 +403,23 @@
                 context.now());
     }
 
+    /** Counts a decision on a submission, and logs it if the job is rejected. */
+    private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
+        OwnerMetrics metrics = context.metrics();
+        metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
+        if (decision.inputs().workAhead() > 0) {
+            metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
+        }
+        if (!decision.admitted()) {
+            LOGGER.atInfo().log(
+                    "event=refused job=%s queue=%s %s work_core_ms=%d",
+                    submit.id(),
+                    submit.queue().name(),
+                    decision.logFields(),
+                    submit.spec().estimatedWork() / MILLICORES_PER_CORE);
+        }
+    }
+
     private void cancel(Job job, Consumer<JobAnswer> answer) {
         if (job.open()) {
             LOGGER.atInfo().log("event=cancelled job=%s", job.id());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRefusals.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRefusals.java
@@ -4,14 +4,13 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionOutcome;
 import org.flamingopitch.scheduler.cell.admission.RetryDelay;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
-/** Refuses jobs, with a delay that suits the reason, and records the decisions on submissions. */
+/** Refuses jobs for other reasons than their load, with a delay that suits the reason, and records each refusal. */
 final class JobRefusals {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -21,8 +20,6 @@
 
     private static final Duration UNCONFIRMED_RETRY_DELAY = Duration.ofSeconds(1);
 
-    private static final long MILLICORES_PER_CORE = 1_000;
-
     private final OwnerMetrics metrics;
 
     JobRefusals(OwnerMetrics metrics) {
@@ -74,20 +71,4 @@
         boolean gang = submit.spec().steps().stream().anyMatch(step -> step.gang() && step.count() > 1);
         return gang ? Optional.of("gangs are not served") : Optional.empty();
     }
-
-    /** Counts a decision on a submission, and logs it if the job is rejected. */
-    void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
-        metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
-        if (decision.inputs().workAhead() > 0) {
-            metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
-        }
-        if (!decision.admitted()) {
-            LOGGER.atInfo().log(
-                    "event=refused job=%s queue=%s %s work_core_ms=%d",
-                    submit.id(),
-                    submit.queue().name(),
-                    decision.logFields(),
-                    submit.spec().estimatedWork() / MILLICORES_PER_CORE);
-        }
-    }
 }
