--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.model.WorkerId;
 
@@ -356,7 +355,7 @@
             return;
         }
         if (value.length() > MAX_CHECKPOINT_LENGTH) {
-            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+            LOGGER.atWarning().every(100).log(
                     "event=checkpoint_too_long task=%s length=%d max=%d", ref, value.length(), MAX_CHECKPOINT_LENGTH);
             return;
         }
