--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/KeyValueResult.java
@@ -33,7 +33,17 @@
      * @param complete whether the entries are all keys with the prefix, rather than only the changed ones; of a page,
      *     whether it is the last one
      */
-    record Listed(List<KeyValueEntry> entries, long revision, boolean complete) implements KeyValueResult {}
+    record Listed(List<KeyValueEntry> entries, long revision, boolean complete) implements KeyValueResult {
+
+        /**
+         * Returns the key after which the next page begins.
+         *
+         * @return the last key; there is one unless the page is the last one
+         */
+        public String lastKey() {
+            return entries.get(entries.size() - 1).key();
+        }
+    }
 
     /**
      * The write took effect.
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
@@ -23,8 +23,7 @@
     /** The prefix of the keys of the jobs' progress, each a {@link ProgressRecord}, one or more per job. */
     public static final String PROGRESS_PREFIX = "flamingopitch/progress/";
 
-    /** Separates the job from the part in the key of a part of its progress. */
-    static final char PART_SEPARATOR = '/';
+    private static final char PART_SEPARATOR = '/';
 
     private CellKeys() {}
 
@@ -58,4 +57,33 @@
     static String progress(JobId id, int part) {
         return part == 0 ? progress(id) : PROGRESS_PREFIX + id + PART_SEPARATOR + part;
     }
+
+    /**
+     * Returns the job of a key under {@link #JOB_PREFIX}.
+     *
+     * @throws IllegalArgumentException if the key names no job
+     */
+    static JobId jobOf(String key) {
+        return new JobId(key.substring(JOB_PREFIX.length()));
+    }
+
+    /**
+     * Returns the job of a key under {@link #PROGRESS_PREFIX}.
+     *
+     * @throws IllegalArgumentException if the key names no job
+     */
+    static JobId progressJobOf(String key) {
+        int separator = key.indexOf(PART_SEPARATOR, PROGRESS_PREFIX.length());
+        return new JobId(key.substring(PROGRESS_PREFIX.length(), separator < 0 ? key.length() : separator));
+    }
+
+    /**
+     * Returns the part of a key under {@link #PROGRESS_PREFIX}.
+     *
+     * @throws IllegalArgumentException if the key names no part
+     */
+    static int progressPartOf(String key) {
+        int separator = key.indexOf(PART_SEPARATOR, PROGRESS_PREFIX.length());
+        return separator < 0 ? 0 : Integer.parseInt(key.substring(separator + 1));
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -53,7 +53,7 @@
 
     private final PendingAnswers pendingAnswers = new PendingAnswers();
 
-    private final UnconfirmedRequests unconfirmedRequests = new UnconfirmedRequests();
+    private final UnconfirmedRequests unconfirmedRequests;
 
     private final JobRefusals refusals;
 
@@ -106,6 +106,7 @@
         this.fencingToken = fencingToken;
         this.configuration = configuration;
         this.refusals = new JobRefusals(context.metrics());
+        this.unconfirmedRequests = new UnconfirmedRequests(election);
         this.electedAt = context.now();
         // The clock of a worker may be 2 % slow.
         this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
@@ -224,14 +225,14 @@
         } else if (request instanceof JobRequest.Cancel cancel) {
             Job job = jobs.job(cancel.id());
             if (job == null) {
-                denyJob(cancel, receivedAt, answer);
+                unconfirmedRequests.denyJob(cancel, receivedAt, answer);
             } else {
                 cancel(job, answer);
             }
         } else if (request instanceof JobRequest.AskState ask) {
             Job job = jobs.job(ask.id());
             if (job == null) {
-                denyJob(ask, receivedAt, answer);
+                unconfirmedRequests.denyJob(ask, receivedAt, answer);
             } else {
                 answer.accept(new JobAnswer.State(job.visibleState()));
             }
@@ -240,29 +241,12 @@
         }
     }
 
-    /** Answers that there is no such job, if the store has confirmed the ownership since the request came. */
-    private void denyJob(JobRequest request, Instant receivedAt, Consumer<JobAnswer> answer) {
-        if (election.confirmedAt().isBefore(receivedAt)) {
-            unconfirmedRequests.add(request, receivedAt, answer);
-            election.confirmSoon();
-        } else {
-            answer.accept(new JobAnswer.Unknown());
-        }
-    }
-
-    private void releaseConfirmedRequests() {
-        unconfirmedRequests.release(election.confirmedAt(), context.now(), this::execute);
-        if (!unconfirmedRequests.isEmpty()) {
-            election.confirmSoon();
-        }
-    }
-
     /** Polls workers, places tasks and sends commits that are due. Called after each event and at regular intervals. */
     public void tick() {
         if (closed || commitLog == null) {
             return;
         }
-        releaseConfirmedRequests();
+        unconfirmedRequests.release(context.now(), this::execute);
         workerRegistry.tick(mayAct());
         runManager.tick();
         commitLog.sendIfDue();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -65,7 +65,7 @@
         readPage(
                 CellKeys.JOB_PREFIX,
                 "",
-                entry -> decode(entry, JobRecord.class, record -> loaded.put(jobId(entry.key()), record)),
+                entry -> decode(entry, JobRecord.class, record -> loaded.put(CellKeys.jobOf(entry.key()), record)),
                 () -> jobs = loaded);
     }
 
@@ -81,33 +81,25 @@
             if (page.complete()) {
                 onComplete.run();
             } else {
-                readPage(prefix, page.entries().get(page.entries().size() - 1).key(), onEntry, onComplete);
+                readPage(prefix, page.lastKey(), onEntry, onComplete);
             }
         });
     }
 
-    private static JobId jobId(String key) {
-        return new JobId(key.substring(CellKeys.JOB_PREFIX.length()));
-    }
-
     private void readProgress() {
         Map<JobId, Map<Integer, ProgressRecord>> loaded = new LinkedHashMap<>();
         readPage(
                 CellKeys.PROGRESS_PREFIX,
                 "",
-                entry -> decode(entry, ProgressRecord.class, record -> addPart(entry.key(), record, loaded)),
+                entry -> decode(
+                        entry,
+                        ProgressRecord.class,
+                        record -> loaded.computeIfAbsent(CellKeys.progressJobOf(entry.key()), id -> new TreeMap<>())
+                                .put(CellKeys.progressPartOf(entry.key()), record)),
                 () -> progress = loaded);
     }
 
-    private static void addPart(String key, ProgressRecord record, Map<JobId, Map<Integer, ProgressRecord>> loaded) {
-        String name = key.substring(CellKeys.PROGRESS_PREFIX.length());
-        int separator = name.indexOf(CellKeys.PART_SEPARATOR);
-        JobId id = new JobId(separator < 0 ? name : name.substring(0, separator));
-        int part = separator < 0 ? 0 : Integer.parseInt(name.substring(separator + 1));
-        loaded.computeIfAbsent(id, each -> new TreeMap<>()).put(part, record);
-    }
-
-    /** Decodes the record in an entry; one that cannot be read is left in the store and does not block the others. */
+    /** Decodes the record in an entry; one that cannot be read is left in the store and does not block the takeover. */
     private static <T> void decode(KeyValueEntry entry, Class<T> type, Consumer<T> handler) {
         try {
             handler.accept(JsonCodec.compact().decode(entry.value(), type));
@@ -122,23 +114,11 @@
         read(new KeyValueRequest.Get(CellKeys.LEARNED), this::readLearned, result -> {
             learnedStatistics = LearnedRecord.EMPTY;
             if (result instanceof KeyValueResult.Found found) {
-                learnedStatistics = decodeLearned(found.entry());
+                decode(found.entry(), LearnedRecord.class, record -> learnedStatistics = record);
             }
         });
     }
 
-    /** Returns the learned statistics; a record that cannot be read is learned anew and does not block the takeover. */
-    private static LearnedRecord decodeLearned(KeyValueEntry entry) {
-        try {
-            return JsonCodec.compact().decode(entry.value(), LearnedRecord.class);
-        } catch (IllegalArgumentException e) {
-            LOGGER.atSevere().log(
-                    "event=record_unreadable key=%s version=%d detail=\"%s\"",
-                    entry.key(), entry.version(), e.getMessage());
-            return LearnedRecord.EMPTY;
-        }
-    }
-
     private void read(KeyValueRequest request, Runnable retry, Consumer<KeyValueResult> onResult) {
         if (closed) {
             return;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitBatch.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitBatch.java
@@ -82,10 +82,7 @@
         List<PendingRecord> next = nextRecords();
         for (PendingRecord record : next) {
             if (record.change() != null) {
-                Job job = record.change().job();
-                if (record.key().equals(CellKeys.job(job.id()))) {
-                    job.markDefinitionStored();
-                }
+                record.change().onCommitted(record.key());
             }
         }
         next.clear();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/InterferenceModel.java
@@ -1,6 +1,8 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -167,12 +169,8 @@
     }
 
     private int forgetOldestImage() {
-        String oldest = null;
-        for (String image : indexByImage.keySet()) {
-            boolean older = oldest == null
-                    || lastUpdates.get(indexByImage.get(image)) < lastUpdates.get(indexByImage.get(oldest));
-            oldest = older ? image : oldest;
-        }
+        String oldest = Collections.min(
+                indexByImage.keySet(), Comparator.comparing(image -> lastUpdates.get(indexByImage.get(image))));
         int index = indexByImage.remove(oldest);
         means.set(index, INITIAL_COST);
         covariances.get(index).replaceAll(covariance -> 0.0);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobChange.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobChange.java
@@ -187,6 +187,13 @@
         return moved;
     }
 
+    /** Takes note that the record under a key was committed. */
+    void onCommitted(String key) {
+        if (key.equals(CellKeys.job(job.id()))) {
+            job.markDefinitionStored();
+        }
+    }
+
     /** How many of the remaining records of a change were moved to a transaction. */
     enum Moved {
         NONE,
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/UnconfirmedRequests.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/UnconfirmedRequests.java
@@ -15,25 +15,37 @@
     /** A reachable store answers sooner; the caller's host then asks again or reports the outcome as unknown. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
+    private final Election election;
+
     private final List<Waiting> requests = new ArrayList<>();
 
-    void add(JobRequest request, Instant receivedAt, Consumer<JobAnswer> answer) {
-        requests.add(new Waiting(request, receivedAt, answer));
+    UnconfirmedRequests(Election election) {
+        this.election = election;
     }
 
-    boolean isEmpty() {
-        return requests.isEmpty();
+    /** Answers that there is no such job, now or when the store has confirmed the ownership since the request came. */
+    void denyJob(JobRequest request, Instant receivedAt, Consumer<JobAnswer> answer) {
+        if (confirmedSince(receivedAt)) {
+            answer.accept(new JobAnswer.Unknown());
+        } else {
+            requests.add(new Waiting(request, receivedAt, answer));
+            election.confirmSoon();
+        }
+    }
+
+    private boolean confirmedSince(Instant receivedAt) {
+        return !election.confirmedAt().isBefore(receivedAt);
     }
 
     /**
-     * Passes on the requests that are confirmed, and answers those that have waited too long.
+     * Passes on the requests that are confirmed, answers those that have waited too long, and asks for the confirmation
+     * of the others.
      *
-     * @param confirmedAt when the call was sent by which the store last confirmed the ownership
-     * @param handler executes a confirmed request
+     * @param handler executes a confirmed request, whose job may be known by now
      */
-    void release(Instant confirmedAt, Instant now, Handler handler) {
+    void release(Instant now, Handler handler) {
         for (Waiting waiting : List.copyOf(requests)) {
-            if (!confirmedAt.isBefore(waiting.receivedAt())) {
+            if (confirmedSince(waiting.receivedAt())) {
                 requests.remove(waiting);
                 handler.handle(waiting.request(), waiting.receivedAt(), waiting.answer());
             } else if (!now.isBefore(waiting.receivedAt().plus(MAX_WAIT))) {
@@ -41,6 +53,9 @@
                 waiting.answer().accept(new JobAnswer.InDoubt());
             }
         }
+        if (!requests.isEmpty()) {
+            election.confirmSoon();
+        }
     }
 
     /** Tells the callers that this process does not own the cell any more. */
