Print the kind of an error of reading or writing in compare

Cause: the message of a missing file is its path alone, so that the line gave no reason. The other catches that were looked at log or carry one.

Change: the line has the kind of the exception too.

--- a/bench/src/main/java/org/flamingopitch/bench/compare/CompareMain.java
+++ b/bench/src/main/java/org/flamingopitch/bench/compare/CompareMain.java
@@ -48,7 +48,7 @@
         } catch (ParseException e) {
             err.println("compare: " + e.getMessage());
         } catch (IOException e) {
-            err.println("compare: cannot read or write " + e.getMessage());
+            err.println("compare: cannot read or write: " + e);
         }
         return USAGE_EXIT_CODE;
     }
