Log why a job has nothing at work, and measure the longest such time

A job with nothing at work had none, and the lines did not tell apart why a worker takes no task at all.

Change: event=job_idle, every 2 s for the three jobs that have been idle longest, says what the task waits for and needs, which runs are open but not at work, and how many workers each obstacle excludes; flamingopitch_longest_job_idle_seconds is the longest time. The counting of WaitingShortTaskLogger moved to PlacementObstacleCounter. PlacementObstacle.UNUSABLE is replaced by one constant for each cause, and ISOLATION is split from RESERVED; WorkerRegistry.usable and TaskPlacer.usable are derived from it with the same conditions, so that the log and the placement cannot differ. event=short_tasks_wait has the new names, too, and omits counts of zero. WaitingShortTaskLoggerTest expects not_answering=1 instead of unusable=1 for the same worker.

No placement decision is changed.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -119,6 +119,11 @@
             .help("Moves of long-running tasks that had to wait for other tasks of the step or for a worker.")
             .register(registry);
 
+    private final Gauge longestIdleTime = Gauge.builder()
+            .name("flamingopitch_longest_job_idle_seconds")
+            .help("Longest time that an open job has had nothing at work although a task may start, on the owner.")
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -199,6 +204,11 @@
         deferredMoves.inc();
     }
 
+    @Override
+    public void recordLongestIdleTime(Duration longest) {
+        longestIdleTime.set(seconds(longest));
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount, int evacuatedDataCentreCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -172,6 +172,7 @@
         waitingRequests.clear();
         pendingAnswers.close();
         unconfirmedRequests.close();
+        context.metrics().recordLongestIdleTime(Duration.ZERO);
     }
 
     /**
--- /dev/null
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
@@ -0,0 +1,139 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import org.flamingopitch.scheduler.cell.model.ServiceName;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+
+/**
+ * Logs jobs that have been idle for {@link #MIN_IDLE_TIME}: what their task needs, and how many workers each {@link
+ * PlacementObstacle} excludes. Measures the longest idle time.
+ */
+final class IdleJobLogger {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final Duration LOG_INTERVAL = Duration.ofSeconds(2);
+
+    /** The platform expects a job to have a task at work within 3 s if there is capacity for it. */
+    private static final Duration MIN_IDLE_TIME = Duration.ofSeconds(2);
+
+    /** Bounds the log volume when many jobs are idle. */
+    private static final int MAX_LINES = 3;
+
+    private static final int MILLICORES_PER_CORE = 1_000;
+
+    private final PlacementPolicy placementPolicy;
+
+    private final OwnerMetrics metrics;
+
+    /** The start of this ownership; when runs of a former owner ended is not known. */
+    private final Instant observedSince;
+
+    private Instant lastLoggedAt = Instant.MIN;
+
+    IdleJobLogger(PlacementPolicy placementPolicy, OwnerMetrics metrics, Instant observedSince) {
+        this.placementPolicy = placementPolicy;
+        this.metrics = metrics;
+        this.observedSince = observedSince;
+    }
+
+    /**
+     * Logs the jobs that have been idle longest, if the interval has passed.
+     *
+     * @param workerObstacle returns what keeps all new tasks off a worker, or {@link PlacementObstacle#NONE}
+     * @param answering whether the last call to a worker was answered
+     * @param mayPlace whether this process may place and start tasks at the moment
+     */
+    void logIfDue(
+            Collection<Job> jobs,
+            Collection<WorkerState> workers,
+            Function<WorkerState, PlacementObstacle> workerObstacle,
+            Predicate<WorkerState> answering,
+            boolean mayPlace,
+            long timeOfDayMillis,
+            Instant now) {
+        if (now.isBefore(lastLoggedAt.plus(LOG_INTERVAL))) {
+            return;
+        }
+        lastLoggedAt = now;
+        List<IdleJob> idleJobs = new ArrayList<>();
+        for (Job job : jobs) {
+            IdleJob idle = job.open() ? IdleJob.of(job, answering, observedSince, timeOfDayMillis, now) : null;
+            if (idle != null && idle.time().compareTo(MIN_IDLE_TIME) >= 0) {
+                idleJobs.add(idle);
+            }
+        }
+        idleJobs.sort(Comparator.comparing(IdleJob::time).reversed());
+        metrics.recordLongestIdleTime(
+                idleJobs.isEmpty() ? Duration.ZERO : idleJobs.get(0).time());
+        if (idleJobs.isEmpty()) {
+            return;
+        }
+        PlacementObstacleCounter obstacles =
+                new PlacementObstacleCounter(placementPolicy, workers, workerObstacle, now);
+        for (IdleJob idle : idleJobs.subList(0, Math.min(MAX_LINES, idleJobs.size()))) {
+            log(idle, idleJobs.size(), workers, mayPlace, obstacles, now);
+        }
+    }
+
+    private static void log(
+            IdleJob idle,
+            int idleJobs,
+            Collection<WorkerState> workers,
+            boolean mayPlace,
+            PlacementObstacleCounter obstacles,
+            Instant now) {
+        Job job = idle.task().job();
+        StepSpec step = idle.task().step().spec();
+        ServiceName service = job.queue().service();
+        LOGGER.atInfo().log(
+                "event=job_idle job=%s task=%s idle_ms=%d idle_jobs=%d state=%s kind=%s cores=%.1f memory=%d "
+                        + "accelerators=%d label=%s width=%d reserved_cores=%d cores_total=%d expired=%s placing=%s%s %s",
+                job.id(),
+                idle.task().ref(),
+                idle.time().toMillis(),
+                idleJobs,
+                idle.state(now),
+                kind(step),
+                (double) step.demand().milliCores() / MILLICORES_PER_CORE,
+                step.demand().memoryMegabytes(),
+                step.demand().accelerators(),
+                step.requiredLabel() == null ? "none" : step.requiredLabel(),
+                step.count(),
+                sumCores(workers, service, worker -> worker.reserved().milliCores()),
+                sumCores(workers, service, worker -> worker.entry().capacity().milliCores()),
+                job.expired(now),
+                mayPlace,
+                idle.runFields(),
+                obstacles.fields(idle.task()));
+    }
+
+    private static String kind(StepSpec step) {
+        if (step.lasting()) {
+            return "long_running";
+        }
+        return step.fills() ? "best_effort" : "short";
+    }
+
+    /** Sums over the registered workers of a service, usable or not. */
+    private static long sumCores(
+            Collection<WorkerState> workers, ServiceName service, ToLongFunction<WorkerState> milliCores) {
+        long sum = 0;
+        for (WorkerState worker : workers) {
+            if (worker.registered() && worker.entry().service().equals(service)) {
+                sum += milliCores.applyAsLong(worker);
+            }
+        }
+        return sum / MILLICORES_PER_CORE;
+    }
+}
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacle.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacle.java
@@ -4,8 +4,26 @@
 
 /** Why a worker does not take a task: the first of the tests, in this order, that the worker fails. */
 enum PlacementObstacle {
-    /** The worker is draining, unreachable, evacuated or in quarantine for all tasks. */
-    UNUSABLE,
+    /** The worker has no entry, or has been absent from the listing for too long. */
+    MISSING,
+
+    /** Another worker has answered at the worker's address, so that it has ended. */
+    REPLACED,
+
+    /** The worker is draining. */
+    DRAINING,
+
+    /** The worker's data centre is under evacuation. */
+    EVACUATED,
+
+    /** The last call to the worker was not answered, or none has been yet. */
+    NOT_ANSWERING,
+
+    /** The worker has a run that the owner cannot assign to a task. */
+    UNKNOWN_RUNS,
+
+    /** The worker is in quarantine for all tasks. */
+    QUARANTINED,
 
     /** Reservations leave too little memory, processor time or other resources. */
     CAPACITY,
@@ -25,9 +43,12 @@
     /** A latency-critical task there would get too little headroom. */
     HEADROOM,
 
-    /** The worker is reserved for another task, or a task there needs isolation. */
+    /** The worker is reserved for another task. */
     RESERVED,
 
+    /** A task there needs isolation, or this one does and a run there may crash the worker. */
+    ISOLATION,
+
     /** The worker takes the task. */
     NONE;
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -313,6 +313,11 @@
         return progressAt;
     }
 
+    /** Returns when a report last listed the run, or it was placed. */
+    Instant reportedAt() {
+        return reportedAt;
+    }
+
     /** Returns whether reports have shown no progress for a time; a time without reports shows nothing. */
     boolean withoutProgressFor(Duration time) {
         return !reportedAt.isBefore(progressAt.plus(time));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -60,6 +60,8 @@
 
     private final WaitingShortTaskLogger waitingShortTaskLogger;
 
+    private final IdleJobLogger idleJobLogger;
+
     private CommitLog commitLog;
 
     private WorkerRegistry workerRegistry;
@@ -106,6 +108,7 @@
                 copyPlanner);
         this.waitingTaskLogger = new WaitingTaskLogger(placementPolicy, health);
         this.waitingShortTaskLogger = new WaitingShortTaskLogger(placementPolicy);
+        this.idleJobLogger = new IdleJobLogger(placementPolicy, context.metrics(), context.now());
         this.throttleController =
                 new ThrottleController(orderSender, statistics.interference(), this::mayStop, context.gates());
     }
@@ -205,7 +208,15 @@
         summaryLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingTaskLogger.logIfDue(jobs.all(), workerRegistry, context.timeOfDayMillis(), now);
         waitingShortTaskLogger.logIfDue(
-                jobs.all(), workerRegistry.workers(), placer::usable, context.timeOfDayMillis(), now);
+                jobs.all(), workerRegistry.workers(), placer::obstacle, context.timeOfDayMillis(), now);
+        idleJobLogger.logIfDue(
+                jobs.all(),
+                workerRegistry.workers(),
+                placer::obstacle,
+                workerRegistry::answering,
+                mayAct.getAsBoolean(),
+                context.timeOfDayMillis(),
+                now);
         checkRuns(now);
         checkJobs(now);
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -316,13 +316,19 @@
         }
     }
 
-    /** Returns whether tasks may be placed on a worker now. */
-    boolean usable(WorkerState worker) {
-        return usable(worker, context.now());
+    /** Returns what keeps all tasks off a worker now, or {@link PlacementObstacle#NONE}. */
+    PlacementObstacle obstacle(WorkerState worker) {
+        return obstacle(worker, context.now());
+    }
+
+    private PlacementObstacle obstacle(WorkerState worker, Instant now) {
+        PlacementObstacle obstacle = workerRegistry.obstacle(worker, now);
+        boolean quarantined = obstacle == PlacementObstacle.NONE && health.quarantinedForAll(worker.id(), now);
+        return quarantined ? PlacementObstacle.QUARANTINED : obstacle;
     }
 
     private boolean usable(WorkerState worker, Instant now) {
-        return workerRegistry.usable(worker, now) && !health.quarantinedForAll(worker.id(), now);
+        return obstacle(worker, now) == PlacementObstacle.NONE;
     }
 
     private void startIfStillPlanned(Run run) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLogger.java
@@ -6,12 +6,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.StringJoiner;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 
 /**
@@ -39,11 +37,15 @@
         this.placementPolicy = placementPolicy;
     }
 
-    /** Logs the images of which most tasks wait, if the interval has passed. */
+    /**
+     * Logs the images of which most tasks wait, if the interval has passed.
+     *
+     * @param workerObstacle returns what keeps all new tasks off a worker, or {@link PlacementObstacle#NONE}
+     */
     void logIfDue(
             Collection<Job> jobs,
             Collection<WorkerState> workers,
-            Predicate<WorkerState> usable,
+            Function<WorkerState, PlacementObstacle> workerObstacle,
             long timeOfDayMillis,
             Instant now) {
         if (now.isBefore(lastLoggedAt.plus(LOG_INTERVAL))) {
@@ -63,8 +65,9 @@
         kinds.sort(Comparator.comparingInt(
                         (Map.Entry<Kind, List<Task>> kind) -> -kind.getValue().size())
                 .thenComparing(kind -> kind.getKey().toString()));
-        PlacementPass pass = placementPolicy.startPass(workers, usable, now);
-        kinds.stream().limit(MAX_LINES).forEach(kind -> log(kind.getKey(), kind.getValue(), pass, workers, now));
+        PlacementObstacleCounter obstacles =
+                new PlacementObstacleCounter(placementPolicy, workers, workerObstacle, now);
+        kinds.stream().limit(MAX_LINES).forEach(kind -> log(kind.getKey(), kind.getValue(), obstacles, now));
     }
 
     private static void addWaiting(Job job, Map<Kind, List<Task>> waiting, long timeOfDayMillis, Instant now) {
@@ -83,7 +86,7 @@
         }
     }
 
-    private void log(Kind kind, List<Task> tasks, PlacementPass pass, Collection<WorkerState> workers, Instant now) {
+    private static void log(Kind kind, List<Task> tasks, PlacementObstacleCounter obstacles, Instant now) {
         Task longest =
                 tasks.stream().min(Comparator.comparing(Task::waitingSince)).orElseThrow();
         LOGGER.atInfo().log(
@@ -97,28 +100,7 @@
                         / MILLICORES_PER_CORE,
                 longest.ref(),
                 Duration.between(longest.waitingSince(), now).toMillis(),
-                obstacles(longest, pass, workers, now));
-    }
-
-    /** Returns the number of workers that each obstacle excludes, as fields of a log line. */
-    private String obstacles(Task task, PlacementPass pass, Collection<WorkerState> workers, Instant now) {
-        Map<PlacementObstacle, Integer> counts = new EnumMap<>(PlacementObstacle.class);
-        int unusable = (int) workers.stream().filter(WorkerState::registered).count()
-                - pass.candidates().size();
-        counts.put(PlacementObstacle.UNUSABLE, unusable);
-        for (PlacementCandidate candidate : pass.candidates()) {
-            counts.merge(obstacle(task, candidate, now), 1, Integer::sum);
-        }
-        StringJoiner fields = new StringJoiner(" ");
-        counts.forEach((obstacle, count) -> fields.add(obstacle.label() + "=" + count));
-        return fields.toString();
-    }
-
-    private PlacementObstacle obstacle(Task task, PlacementCandidate candidate, Instant now) {
-        PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
-        Task reservedFor = candidate.worker().reservedFor(now);
-        boolean reserved = reservedFor != null && reservedFor != task || !candidate.admits(task);
-        return obstacle == PlacementObstacle.NONE && reserved ? PlacementObstacle.RESERVED : obstacle;
+                obstacles.fields(longest));
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -124,11 +124,24 @@
 
     /** Returns whether new work may be placed on a worker. */
     boolean usable(WorkerState worker, Instant now) {
-        return accepting(worker)
-                && !worker.hasUnknownRuns()
-                && !worker.replaced()
-                && !worker.missingFor(MISSING_GRACE_PERIOD, now)
-                && answering(worker);
+        return obstacle(worker, now) == PlacementObstacle.NONE;
+    }
+
+    /** Returns what keeps all new work off a worker, or {@link PlacementObstacle#NONE}. */
+    PlacementObstacle obstacle(WorkerState worker, Instant now) {
+        if (!worker.registered() || worker.missingFor(MISSING_GRACE_PERIOD, now)) {
+            return PlacementObstacle.MISSING;
+        }
+        if (worker.replaced()) {
+            return PlacementObstacle.REPLACED;
+        }
+        if (!accepting(worker)) {
+            return worker.draining() ? PlacementObstacle.DRAINING : PlacementObstacle.EVACUATED;
+        }
+        if (!answering(worker)) {
+            return PlacementObstacle.NOT_ANSWERING;
+        }
+        return worker.hasUnknownRuns() ? PlacementObstacle.UNKNOWN_RUNS : PlacementObstacle.NONE;
     }
 
     /** Returns whether a worker is registered, does not drain, and is in no data centre under evacuation. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
@@ -56,4 +56,11 @@
      * @param outcome the outcome
      */
     default void recordCopyOutcome(CopyOutcome outcome) {}
+
+    /**
+     * Records how long a job has had nothing at work although the turn of one of its tasks has come.
+     *
+     * @param longest the longest such time of all jobs, zero if none is long enough to be logged
+     */
+    default void recordLongestIdleTime(Duration longest) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedLog.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedLog.java
@@ -32,7 +32,16 @@
      * @param type the class that logs
      */
     public RecordedLog(Class<?> type) {
-        logger = Logger.getLogger(type.getName());
+        this(type.getName());
+    }
+
+    /**
+     * Starts to record.
+     *
+     * @param typeName the full name of the class that logs
+     */
+    public RecordedLog(String typeName) {
+        logger = Logger.getLogger(typeName);
         logger.addHandler(recorder);
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
@@ -16,6 +16,8 @@
 
     private int deferredMoves;
 
+    private Duration longestIdleTime = Duration.ZERO;
+
     List<MoveReason> moves() {
         return moves;
     }
@@ -29,6 +31,15 @@
         return rackWaitOutcomes;
     }
 
+    Duration longestIdleTime() {
+        return longestIdleTime;
+    }
+
+    @Override
+    public void recordLongestIdleTime(Duration longest) {
+        longestIdleTime = longest;
+    }
+
     @Override
     public void recordMove(MoveReason reason) {
         moves.add(reason);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLoggerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WaitingShortTaskLoggerTest.java
@@ -33,7 +33,12 @@
         OwnerFixtures.run(OwnerFixtures.task(server), serving, 16);
         List<WorkerState> workers =
                 List.of(serving, OwnerFixtures.worker("small", 1_000), OwnerFixtures.worker("lost", 16_000));
-        logger.logIfDue(List.of(jobs), workers, worker -> !worker.id().value().equals("lost"), 0, now);
+        logger.logIfDue(
+                List.of(jobs),
+                workers,
+                worker -> worker.id().value().equals("lost") ? PlacementObstacle.NOT_ANSWERING : PlacementObstacle.NONE,
+                0,
+                now);
     }
 
     private static Job heavyJob() {
@@ -47,7 +52,7 @@
                 .singleElement()
                 .asString()
                 .contains("queue=q image=heavy waiting=2 cores=4 task=j.0.0.0 waited_ms=3000")
-                .contains("unusable=1 headroom=1 none=1");
+                .contains("not_answering=1 headroom=1 none=1");
     }
 
     @Test
