Start idle best-effort jobs although others demand all unused processor time

Cause: Callers saw an accepted best-effort job with nothing running although most of the workers' capacity was not reserved. The platform does not count the processor demand of a best-effort task against a worker, but placement keeps their demands within the unused processor time, and the slow start did not lift this obstacle. While such tasks last, or newer jobs of more value keep coming, the job waits for good. Change: The slow start passes over the lack of unused processor time too. Conclusion: A job gets a share of the processor time within 3 s, at the cost of the other best-effort tasks there.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -12,9 +12,10 @@
 
 /**
  * Finds best-effort tasks that would wait for good in a cell with free capacity: each worker serves a latency-critical
- * image that they slow too much, and these tasks last. One task of such a job is started at the lowest speed, on the
- * worker where it does least harm. In a cell under load, capacity becomes free by itself, and slow tasks would take the
- * headroom of others, so that no task is started in this way.
+ * image that they slow too much, or other best-effort tasks demand its unused processor time, and these tasks last. One
+ * task of such a job is started at the lowest speed, on the worker where it does least harm. In a cell under load,
+ * capacity becomes free by itself, and slow tasks would take the headroom of others, so that no task is started in this
+ * way.
  */
 final class StarvedTaskPlanner {
 
@@ -27,8 +28,8 @@
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(250);
 
     /** What keeps a task off a worker that it can run on nevertheless. */
-    private static final Set<PlacementObstacle> LIFTED_OBSTACLES =
-            EnumSet.of(PlacementObstacle.HEADROOM, PlacementObstacle.UNKNOWN_INTERFERENCE);
+    private static final Set<PlacementObstacle> LIFTED_OBSTACLES = EnumSet.of(
+            PlacementObstacle.HEADROOM, PlacementObstacle.UNKNOWN_INTERFERENCE, PlacementObstacle.PROCESSOR_TIME);
 
     private final PlacementPolicy placementPolicy;
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -119,6 +119,17 @@
         assertThat(idleJobs(jobCount)).isEmpty();
     }
 
+    /** Best-effort tasks reserve no processor time, so that none keeps another one out for good. */
+    @Test
+    void jobIsNotIdleBecauseBestEffortTasksDemandAllUnusedProcessorTime() {
+        int jobCount = 2 * WORKERS;
+        for (int i = 0; i < jobCount; i++) {
+            submitBestEffortJob(jobId(i), "light", 16_000);
+        }
+        session.advance(Duration.ofSeconds(3));
+        assertThat(idleJobs(jobCount)).isEmpty();
+    }
+
     /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
     @Test
     void taskWaitsWhileMostCapacityIsReserved() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -83,6 +83,18 @@
         assertThat(select(job(LONG))).hasSize(1);
     }
 
+    @Test
+    void workerWithAnotherSlowTaskIsChosenIfThereIsNoOther() {
+        OwnerFixtures.run(OwnerFixtures.task(job(LONG)), worker, 1).markSlowStart();
+        Job job = OwnerFixtures.job("k", OwnerFixtures.bestEffortStep("i", 1, 16_000, 1_000), now.minus(LONG));
+        assertThat(choose(job).worker()).isSameAs(worker);
+    }
+
+    private PlacementCandidate choose(Job job) {
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
+        return planner.chooseWorker(OwnerFixtures.task(job), pass, now);
+    }
+
     @Test
     void workerThatWouldTakeTheTaskAtFullSpeedIsNotChosen() {
         Job job = job(LONG);
