Count the workers that cannot be used now when a service is rated as loaded

Cause: A best-effort job stayed idle while less than half of the service was reserved. The reserved share was taken of the workers that are usable now; with some silent, quarantined or draining, the same reservations counted as a full cell. Change: A service is loaded only if the share is high both of the usable and of all its registered workers. Result: jobIsSelectedIfMostCapacityIsOnWorkersThatCannotBeUsedNow failed before.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Returns all workers, usable or not. */
+    Collection<WorkerState> workers() {
+        return workers;
+    }
+
     /** Returns the racks of the registered workers, usable or not. */
     Racks racks() {
         if (racks == null) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -120,10 +120,14 @@
         return tasks;
     }
 
+    /**
+     * Returns whether the reserved share is high both of the usable workers and of all workers of the service. A part of
+     * the workers that cannot be used for a moment does not make the service loaded.
+     */
     private static boolean loaded(ServiceName service, PlacementPass pass) {
-        return loaded(
-                service,
-                pass.candidates().stream().map(PlacementCandidate::worker).toList());
+        List<WorkerState> usable =
+                pass.candidates().stream().map(PlacementCandidate::worker).toList();
+        return loaded(service, usable) && loaded(service, pass.workers());
     }
 
     private static boolean loaded(ServiceName service, Collection<WorkerState> workers) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -83,6 +83,16 @@
         assertThat(select(job(LONG))).hasSize(1);
     }
 
+    /** The reserved share was taken of the usable workers only, so that a few silent ones made the cell look full. */
+    @Test
+    void jobIsSelectedIfMostCapacityIsOnWorkersThatCannotBeUsedNow() {
+        reserve(9_000);
+        WorkerState unusable = OwnerFixtures.worker("unusable", 16_000);
+        PlacementPass pass = placementPolicy.startPass(List.of(worker, unusable), each -> each == worker, now);
+        assertThat(planner.selectTasks(List.of(job(LONG)), pass, now.toEpochMilli(), now))
+                .hasSize(1);
+    }
+
     @Test
     void workerWithAnotherSlowTaskIsChosenIfThereIsNoOther() {
         OwnerFixtures.run(OwnerFixtures.task(job(LONG)), worker, 1).markSlowStart();
