Start idle jobs on workers in quarantine if no others permit them

Change: The planner looks at all short tasks, and takes a worker in quarantine as the last resort for a job that has had nothing at work for 2 s. Conclusion: A quarantine orders workers; it no longer keeps a job out for good.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -11,11 +11,11 @@
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 
 /**
- * Finds best-effort tasks that would wait for good in a cell with free capacity: each worker serves a latency-critical
- * image that they slow too much, or other best-effort tasks demand its unused processor time, and these tasks last. One
- * task of such a job is started at the lowest speed, on the worker where it does least harm. In a cell under load,
- * capacity becomes free by itself, and slow tasks would take the headroom of others, so that no task is started in this
- * way.
+ * Finds short tasks that would wait for good in a cell with free capacity: each worker that permits them serves a
+ * latency-critical image that they slow too much, has its unused processor time demanded by other best-effort tasks, or
+ * is in quarantine. One task of such a job is started on the worker where it does least harm, a best-effort task at the
+ * lowest speed. In a cell under load, capacity becomes free by itself, and slow tasks would take the headroom of others,
+ * so that no task is started in this way.
  */
 final class StarvedTaskPlanner {
 
@@ -29,7 +29,10 @@
 
     /** What keeps a task off a worker that it can run on nevertheless. */
     private static final Set<PlacementObstacle> LIFTED_OBSTACLES = EnumSet.of(
-            PlacementObstacle.HEADROOM, PlacementObstacle.UNKNOWN_INTERFERENCE, PlacementObstacle.PROCESSOR_TIME);
+            PlacementObstacle.HEADROOM,
+            PlacementObstacle.UNKNOWN_INTERFERENCE,
+            PlacementObstacle.PROCESSOR_TIME,
+            PlacementObstacle.TRIAL);
 
     private final PlacementPolicy placementPolicy;
 
@@ -51,7 +54,7 @@
         List<Task> selected = new ArrayList<>();
         for (Job job : openJobs) {
             if (!job.hasOpenRun() && !now.isBefore(idleSince(job).plus(MAX_IDLE_TIME))) {
-                List<Task> tasks = waitingBestEffortTasks(job, timeOfDayMillis, now);
+                List<Task> tasks = waitingShortTasks(job, timeOfDayMillis, now);
                 if (!tasks.isEmpty() && !loaded(job.queue().service(), pass)) {
                     selected.addAll(tasks);
                 }
@@ -75,9 +78,10 @@
     private boolean canRun(Task task, PlacementCandidate candidate, Instant now) {
         Task reservedFor = candidate.worker().reservedFor(now);
         boolean available = reservedFor == null || reservedFor == task;
-        return available
-                && candidate.admits(task)
-                && LIFTED_OBSTACLES.contains(placementPolicy.obstacle(task.step(), candidate));
+        PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
+        boolean lifted =
+                LIFTED_OBSTACLES.contains(obstacle) || candidate.quarantined() && obstacle == PlacementObstacle.NONE;
+        return available && lifted && candidate.admits(task);
     }
 
     private static boolean lastResort(Task task, PlacementCandidate candidate) {
@@ -105,11 +109,11 @@
         return latest;
     }
 
-    private static List<Task> waitingBestEffortTasks(Job job, long timeOfDayMillis, Instant now) {
+    private static List<Task> waitingShortTasks(Job job, long timeOfDayMillis, Instant now) {
         List<Task> tasks = new ArrayList<>();
         for (List<Step> steps : job.occurrences()) {
             for (Step step : steps) {
-                if (step.spec().fills() && !step.done() && step.ready(timeOfDayMillis)) {
+                if (!step.spec().lasting() && !step.done() && step.ready(timeOfDayMillis)) {
                     step.tasks().stream()
                             .filter(task -> task.waiting(now) || task.awaitsIsolation(now))
                             .findFirst()
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -275,25 +275,39 @@
         }
     }
 
-    /** Places best-effort tasks of jobs that have nothing at work although the cell has capacity. */
+    /** Places short tasks of jobs that have nothing at work although the cell has capacity. */
     private void placeStarved(PlacementPass pass, long timeOfDayMillis, Instant now) {
         if (!context.gates().on(FeatureGate.SLOW_STARTS)) {
             return;
         }
-        for (Task task : starvedTaskPlanner.selectTasks(jobs.open(), pass, timeOfDayMillis, now)) {
-            PlacementCandidate candidate =
-                    task.job().hasOpenRun() ? null : starvedTaskPlanner.chooseWorker(task, pass, now);
-            if (candidate != null) {
-                Run run = place(task, candidate, now);
-                run.markSlowStart();
-                candidate.refresh();
-                LOGGER.atInfo().log(
-                        "event=slow_start task=%s run=%d worker=%s",
-                        task.ref(), run.number(), candidate.worker().id());
+        List<Task> starved = starvedTaskPlanner.selectTasks(jobs.open(), pass, timeOfDayMillis, now);
+        if (starved.isEmpty()) {
+            return;
+        }
+        PlacementPass lastResort =
+                placementPolicy.startPass(workerRegistry.workers(), worker -> workerRegistry.usable(worker, now), now);
+        for (Task task : starved) {
+            if (!task.job().hasOpenRun()) {
+                placeStarved(task, lastResort, now);
             }
         }
     }
 
+    private void placeStarved(Task task, PlacementPass pass, Instant now) {
+        PlacementCandidate candidate = starvedTaskPlanner.chooseWorker(task, pass, now);
+        if (candidate == null) {
+            return;
+        }
+        Run run = place(task, candidate, now);
+        if (task.step().spec().fills()) {
+            run.markSlowStart();
+        }
+        candidate.refresh();
+        LOGGER.atInfo().log(
+                "event=slow_start task=%s run=%d worker=%s",
+                task.ref(), run.number(), candidate.worker().id());
+    }
+
     /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
     private void placeInIsolation(PlacementPass pass, Instant now) {
         for (Task task : crashAttribution.tasksAwaitingIsolation(now)) {
