Rate each service once a pass, and tell starts in quarantine from slow ones in the log

Cause: The planner of idle jobs summed up the workers of a service once for each idle job, and every start had the same event although only best-effort tasks are started slowly. Change: The sums are kept for the pass, and are looked at before the tasks of a job. event=last_resort_start names a start on a worker in quarantine. Conclusion: A pass with many idle jobs in a loaded cell stays short.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/feature/FeatureGate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/feature/FeatureGate.java
@@ -37,8 +37,8 @@
     /** Moves best-effort tasks that would stay paused; off: they stay. */
     DISPLACEMENT("moves best-effort tasks that would stay paused"),
 
-    /** Starts a best-effort task slowly that no worker of an idle cell would take at full speed; off: it waits. */
-    SLOW_STARTS("starts best-effort tasks slowly that would wait for good"),
+    /** Starts a task of an idle job that every worker of a cell with free capacity would keep out; off: it waits. */
+    SLOW_STARTS("starts short tasks that would wait for good in spite of obstacles"),
 
     /** Gives workers that fail or stall no work for a time; off: they get work as before. */
     QUARANTINE("gives workers that fail or stall no work for a time"),
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -6,7 +6,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 
@@ -52,12 +54,11 @@
         }
         plannedAt = now;
         List<Task> selected = new ArrayList<>();
+        Map<ServiceName, Boolean> loadedServices = new HashMap<>();
         for (Job job : openJobs) {
-            if (!job.hasOpenRun() && !now.isBefore(idleSince(job).plus(MAX_IDLE_TIME))) {
-                List<Task> tasks = waitingShortTasks(job, timeOfDayMillis, now);
-                if (!tasks.isEmpty() && !loaded(job.queue().service(), pass)) {
-                    selected.addAll(tasks);
-                }
+            boolean loaded = loadedServices.computeIfAbsent(job.queue().service(), service -> loaded(service, pass));
+            if (!loaded && !job.hasOpenRun() && !now.isBefore(idleSince(job).plus(MAX_IDLE_TIME))) {
+                selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
         }
         return selected;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -299,13 +299,17 @@
             return;
         }
         Run run = place(task, candidate, now);
-        if (task.step().spec().fills()) {
+        boolean slow = task.step().spec().fills();
+        if (slow) {
             run.markSlowStart();
         }
         candidate.refresh();
         LOGGER.atInfo().log(
-                "event=slow_start task=%s run=%d worker=%s",
-                task.ref(), run.number(), candidate.worker().id());
+                "event=%s task=%s run=%d worker=%s",
+                slow ? "slow_start" : "last_resort_start",
+                task.ref(),
+                run.number(),
+                candidate.worker().id());
     }
 
     /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
