Keep a best-effort task where its interference is negligible at the lowest speed

Placement permits a task whose cost is negligible beside a task with little headroom, and throttling lets it run, but the test whether it must be moved compared only the remaining headroom with the target, so that the first report displaced it, and it was placed there again. Change: A task is moved only if throttling would not tolerate it at the lowest speed either, with the same test. Result: taskWithNegligibleInterferenceStaysBesideATaskWithLowHeadroom failed before. Conclusion: Placement, throttling and moving agree on what is negligible.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -183,11 +183,8 @@
         return latencyCriticalRuns.stream()
                 .filter(latencyCritical -> interference.isCostKnown(
                         latencyCritical, bestEffort.task().step().spec()))
-                .anyMatch(latencyCritical -> interference.baseline(latencyCritical)
-                                - interference.fullSpeedCost(latencyCritical, bestEffort)
-                                        * LOWEST_SPEED_PERCENT
-                                        / FULL_SPEED_PERCENT
-                        < TARGET_HEADROOM);
+                .anyMatch(latencyCritical -> !tolerates(
+                        latencyCritical, interference.baseline(latencyCritical), bestEffort, LOWEST_SPEED_PERCENT));
     }
 
     private static Duration maxPause(Run bestEffort) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/FeatureGateDecisionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/FeatureGateDecisionTest.java
@@ -6,20 +6,13 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
-import org.flamingopitch.coordination.kv.KeyValueRequest;
-import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.QueueName;
-import org.flamingopitch.scheduler.cell.port.CellContext;
-import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
-import org.flamingopitch.scheduler.cell.port.WorkerListing;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
-import org.flamingopitch.scheduler.cell.port.WorkerTarget;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -161,42 +154,4 @@
         List<WorkerOrder> orders = throttle(gates(FeatureGate.DISPLACEMENT, on), 40, 20);
         assertThat(orders.stream().anyMatch(WorkerOrder.Stop.class::isInstance)).isEqualTo(on);
     }
-
-    /**
-     * Records the orders to workers.
-     *
-     * @param orders receives the orders
-     */
-    private record RecordingContext(List<WorkerOrder> orders) implements CellContext {
-
-        @Override
-        public Instant now() {
-            return OwnerFixtures.NOW;
-        }
-
-        @Override
-        public long timeOfDayMillis() {
-            return OwnerFixtures.NOW.toEpochMilli();
-        }
-
-        @Override
-        public void schedule(Duration delay, Runnable action) {
-            throw new AssertionError("no timer is expected");
-        }
-
-        @Override
-        public void callStore(KeyValueRequest request, Consumer<KeyValueResult> handler) {
-            throw new AssertionError("no call to the store is expected");
-        }
-
-        @Override
-        public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
-            orders.add(order);
-        }
-
-        @Override
-        public void listWorkers(Consumer<WorkerListing> handler) {
-            throw new AssertionError("no list of workers is expected");
-        }
-    }
 }
--- /dev/null
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ThrottleControllerTest.java
@@ -0,0 +1,45 @@
+package org.flamingopitch.scheduler.cell.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingopitch.scheduler.cell.feature.FeatureGates;
+import org.flamingopitch.scheduler.cell.port.WorkerOrder;
+import org.junit.jupiter.api.Test;
+
+/** A task that is moved off a worker on which placement permits it is placed there again, and never gets on. */
+final class ThrottleControllerTest {
+
+    private static final double LOW_BASELINE = 1.3;
+
+    private final InterferenceEstimator interference = new InterferenceEstimator();
+
+    private final WorkerState worker = OwnerFixtures.worker("w", 16_000);
+
+    private boolean isMoved(double cost) {
+        interference.restore(List.of(new LearnedRecord.Response(
+                "server", LOW_BASELINE, List.of(new LearnedRecord.Cost("filler", cost, 0.01)))));
+        Job service = OwnerFixtures.job("s", OwnerFixtures.latencyCriticalStep("server", 1_000, 26), OwnerFixtures.NOW);
+        OwnerFixtures.run(OwnerFixtures.task(service), worker, 20);
+        Job filler = OwnerFixtures.job("f", OwnerFixtures.bestEffortStep("filler", 1, 4_000, 1_000), OwnerFixtures.NOW);
+        OwnerFixtures.run(OwnerFixtures.task(filler), worker, 4_000);
+        List<WorkerOrder> orders = new ArrayList<>();
+        WorkerOrderSender sender = new WorkerOrderSender(
+                new RecordingContext(orders), 1, Duration.ofSeconds(6), new WorkerOrderSenderTest.RecordingListener());
+        new ThrottleController(sender, interference, run -> true, FeatureGates.ALL_ON)
+                .adjustThrottling(worker, OwnerFixtures.NOW);
+        return orders.stream().anyMatch(WorkerOrder.Stop.class::isInstance);
+    }
+
+    @Test
+    void taskWithNegligibleInterferenceStaysBesideATaskWithLowHeadroom() {
+        assertThat(isMoved(0.1)).isFalse();
+    }
+
+    @Test
+    void taskThatInterferesIsMovedFromATaskWithLowHeadroom() {
+        assertThat(isMoved(4)).isTrue();
+    }
+}
