--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobLogSessionTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The owner must say why a job has nothing at work, and stop saying so when this is over or another host says it. */
-final class IdleJobSessionTest {
+final class IdleJobLogSessionTest {
 
     private static final String JOB_ID = "00000000000000aa";
 
