--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongBiFunction;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.scheduler.cell.model.EndKind;
@@ -72,8 +73,8 @@
 
     private long remainingMillis;
 
-    /** The progress that all runs report, or negative if it rises with the time. */
-    private double reportedPercent = -1;
+    /** The progress that a task's run reports, or negative if it rises with the time. */
+    private ToDoubleFunction<TaskRef> reportedPercents = task -> -1;
 
     private String rack = "r1";
 
@@ -96,6 +97,9 @@
     /** The durations of runs that end by themselves, by task and run number; null if the test ends them. */
     private ToLongBiFunction<TaskRef, Integer> durations;
 
+    /** The figure for the last half second that is reported of each running task. */
+    private ToDoubleFunction<TaskRef> measurements = task -> 1;
+
     private final Map<TaskRef, Long> startMillis = new LinkedHashMap<>();
 
     /**
@@ -143,6 +147,11 @@
         durations = newDurations;
     }
 
+    /** Sets the figures for the last half second that reports contain. */
+    void setMeasurements(ToDoubleFunction<TaskRef> figures) {
+        measurements = figures;
+    }
+
     /** Ends the worker's process with all its runs; orders are lost until it is restarted or replaced. */
     public void crash() {
         crashed = true;
@@ -195,30 +204,18 @@
         unresponsive = isUnresponsive;
     }
 
-    /**
-     * Sets whether start orders are lost, without effect or answer.
-     *
-     * @param areLost whether start orders are lost
-     */
-    public void setStartsLost(boolean areLost) {
+    /** Sets whether start orders are lost, without effect or answer. */
+    void setStartsLost(boolean areLost) {
         startsLost = areLost;
     }
 
-    /**
-     * Sets whether stop orders are lost, without effect or answer.
-     *
-     * @param areLost whether stop orders are lost
-     */
-    public void setStopsLost(boolean areLost) {
+    /** Sets whether stop orders are lost, without effect or answer. */
+    void setStopsLost(boolean areLost) {
         stopsLost = areLost;
     }
 
-    /**
-     * Sets the rack.
-     *
-     * @param label the label of the rack
-     */
-    public void setRack(String label) {
+    /** Sets the label of the rack. */
+    void setRack(String label) {
         rack = label;
     }
 
@@ -242,22 +239,23 @@
         remainingMillis = remaining;
     }
 
-    /**
-     * Sets the data centre.
-     *
-     * @param name its name
-     */
-    public void setDataCentre(String name) {
+    /** Sets the name of the data centre. */
+    void setDataCentre(String name) {
         dataCentre = name;
     }
 
     /**
-     * Sets the progress that all runs report; without this call it rises with the time.
+     * Sets the progress of all runs; without this call it rises with the time.
      *
      * @param percent the progress in percent, 100 for a long-running task that is at work
      */
     public void setReportedPercent(double percent) {
-        reportedPercent = percent;
+        reportedPercents = task -> percent;
+    }
+
+    /** Sets the progress of each task's run. */
+    void setReportedPercents(ToDoubleFunction<TaskRef> percents) {
+        reportedPercents = percents;
     }
 
     /**
@@ -450,7 +448,7 @@
                             each.getValue(),
                             "",
                             percent(each.getKey(), each.getValue(), clockMillis),
-                            1))
+                            measurements.applyAsDouble(each.getKey())))
                     .toList();
             List<RunEnd> page = List.copyOf(ended.subList(0, Math.min(ended.size(), maxEndsPerReport)));
             return new WorkerAnswer.Report(incarnation, clockMillis, reports, page, page.size() == ended.size());
@@ -460,7 +458,8 @@
 
     private double percent(TaskRef task, int run, long clockMillis) {
         if (durations == null) {
-            return reportedPercent < 0 ? clockMillis / 1_000.0 : reportedPercent;
+            double reported = reportedPercents.applyAsDouble(task);
+            return reported < 0 ? clockMillis / 1_000.0 : reported;
         }
         long reportedMillis = (clockMillis - startMillis.get(task)) / REPORT_MILLIS * REPORT_MILLIS;
         return 100.0 * reportedMillis / durations.applyAsLong(task, run);
