Reject jobs whose numbers overflow

Cause: the number of tasks of all occurrences, the last due time and the estimated work of a job were computed with 64 bits from numbers that the caller sends. Three steps of 2^31 - 1 tasks, repeated as often, counted as fewer than 10,000, so that the job was accepted and no owner could hold it; a due time that overflows is in the past, so that its occurrence would start at once; the work became negative.

Change: the number of tasks is compared by division; a job whose last due time exceeds 64 bits is answered 400; estimated work is Long.MAX_VALUE at most. structureError() is the part of the validation without the size, for records that are loaded.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/model/JobSpec.java
@@ -88,14 +88,17 @@
     /**
      * Returns the work of one occurrence by the caller's estimates: processor time times duration, over all tasks.
      *
-     * @return the work in millicores times milliseconds; 0 for a long-running job without estimates
+     * @return the work in millicores times milliseconds, {@link Long#MAX_VALUE} at most; 0 for a long-running job without
+     *     estimates
      */
     public long estimatedWork() {
-        long work = 0;
+        double work = 0;
         for (StepSpec step : steps) {
-            work += step.count() * step.estimateMillis() * step.demand().milliCores();
+            work += (double) step.count()
+                    * step.estimateMillis()
+                    * step.demand().milliCores();
         }
-        return work;
+        return (long) work;
     }
 
     /**
@@ -108,11 +111,21 @@
     }
 
     /**
-     * Validates the steps and the number of tasks.
+     * Validates the steps, the number of tasks, the due times and the size.
      *
      * @return why the job can't run, or null if it is valid
      */
     public String validationError() {
+        String error = structureError();
+        return error != null ? error : sizeError();
+    }
+
+    /**
+     * Validates the steps, the number of tasks and the due times, without which the job cannot be held in memory.
+     *
+     * @return why the job can't be held, or null if it can
+     */
+    public String structureError() {
         if (steps.isEmpty()) {
             return "steps must not be empty";
         }
@@ -129,7 +142,20 @@
             }
             tasks += step.count();
         }
-        return tasks * occurrences() > MAX_TASKS ? "more than " + MAX_TASKS + " tasks" : sizeError();
+        // Divides since the product may overflow.
+        if (tasks > MAX_TASKS / occurrences()) {
+            return "more than " + MAX_TASKS + " tasks";
+        }
+        return dueTimesOverflow() ? "the last due time must have 64 bits" : null;
+    }
+
+    private boolean dueTimesOverflow() {
+        try {
+            Math.addExact(firstDueMillis, Math.multiplyExact(occurrences() - 1, intervalMillis));
+            return false;
+        } catch (ArithmeticException e) {
+            return true;
+        }
     }
 
     private String sizeError() {
