Let no record that cannot be restored end each ownership

Cause: a stored record that is null, or lacks a part, passed the decoder and failed where it was used, in the event loop. The owner stepped down, and so did each successor, which read the same record. A learned record that is null kept the load from ever ending. A definition with 2,147,483,647 tasks took over 8 GB before the process was ended.

Change: JsonCodec rejects null; records reject missing parts and negative numbers of tasks, so that CellRecordsLoader leaves them in the store with event=record_unreadable; it also checks the structure of jobs. LearnedStatistics restores each part by itself.

--- a/coordination/src/main/java/org/flamingopitch/coordination/api/JsonCodec.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/api/JsonCodec.java
@@ -103,7 +103,11 @@
      */
     public <T> T decode(String text, Class<T> type) {
         try {
-            return mapper.readValue(text, type);
+            T value = mapper.readValue(text, type);
+            if (value == null) {
+                throw new IllegalArgumentException("cannot decode " + type.getSimpleName() + ": the text is null");
+            }
+            return value;
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException(
                     "cannot decode " + type.getSimpleName() + ": " + e.getOriginalMessage(), e);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -65,7 +65,10 @@
         readPage(
                 CellKeys.JOB_PREFIX,
                 "",
-                entry -> decode(entry, JobRecord.class, record -> loaded.put(CellKeys.jobOf(entry.key()), record)),
+                entry -> decode(
+                        entry,
+                        JobRecord.class,
+                        record -> loaded.put(CellKeys.jobOf(entry.key()), record.requireRestorable())),
                 () -> jobs = loaded);
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedStatistics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/LearnedStatistics.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Instant;
 import org.flamingopitch.scheduler.cell.admission.ServiceShares;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
@@ -8,6 +9,8 @@
 /** What an owner has learned from the jobs and runs so far; most of it is stored for the next owner. */
 final class LearnedStatistics {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final DurationEstimates estimates = new DurationEstimates();
 
     private final InterferenceEstimator interference = new InterferenceEstimator();
@@ -75,10 +78,19 @@
         return new LearnedRecord(estimates.records(), interference.records(), shares.records());
     }
 
-    /** Restores what a former owner stored. */
+    /** Restores what a former owner stored; statistics that cannot be restored are learned anew. */
     void restore(LearnedRecord record) {
-        estimates.restore(record.durations());
-        interference.restore(record.responses());
-        shares.restore(record.shares());
+        restorePart("durations", () -> estimates.restore(record.durations()));
+        restorePart("responses", () -> interference.restore(record.responses()));
+        restorePart("shares", () -> shares.restore(record.shares()));
+    }
+
+    /** An exception here would end the ownership, and that of each successor, which reads the same record. */
+    private static void restorePart(String name, Runnable restoration) {
+        try {
+            restoration.run();
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log("event=statistics_unreadable part=%s", name);
+        }
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ProgressRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ProgressRecord.java
@@ -17,7 +17,7 @@
 record ProgressRecord(JobState end, List<TaskRecord> tasks, boolean laterParts) {
 
     ProgressRecord {
-        tasks = tasks == null ? List.of() : tasks;
+        tasks = tasks == null ? List.of() : List.copyOf(tasks);
     }
 
     /** Returns the record of a part of a job's progress as it is now. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
@@ -37,10 +37,14 @@
         String checkpoint,
         OpenRun earlier) {
 
+    /** Rejects a record that refers to no task. */
     TaskRecord {
-        failedRuns = failedRuns == null ? List.of() : failedRuns;
-        crashedRuns = crashedRuns == null ? List.of() : crashedRuns;
-        possiblyCrashedRuns = possiblyCrashedRuns == null ? List.of() : possiblyCrashedRuns;
+        if (occurrence < 0 || step < 0 || index < 0) {
+            throw new IllegalArgumentException("negative number of a task: " + occurrence + "." + step + "." + index);
+        }
+        failedRuns = failedRuns == null ? List.of() : List.copyOf(failedRuns);
+        crashedRuns = crashedRuns == null ? List.of() : List.copyOf(crashedRuns);
+        possiblyCrashedRuns = possiblyCrashedRuns == null ? List.of() : List.copyOf(possiblyCrashedRuns);
     }
 
     static TaskRecord of(Task task) {
