Keep serve running beside stored entries that cannot be read

Change: an entry that cannot be read is logged and leaves the former state in force. The records reject missing parts. A member whose address cannot be read is not dialled.

--- a/coordination/src/main/java/org/flamingopitch/coordination/config/ConfigEnvelope.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/config/ConfigEnvelope.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * The stored form of the configuration. It includes the history of changes, so that a change and its history entry are
@@ -15,6 +16,12 @@
 
     private static final int MAX_HISTORY_CHANGES = 100;
 
+    /** Rejects an envelope without a document; a missing history is empty. */
+    public ConfigEnvelope {
+        Objects.requireNonNull(document, "document");
+        changes = changes == null ? List.of() : List.copyOf(changes);
+    }
+
     /**
      * Returns the envelope in use before a configuration has been stored.
      *
--- a/coordination/src/main/java/org/flamingopitch/coordination/config/ConfigService.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/config/ConfigService.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.coordination.config;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,8 @@
  */
 public final class ConfigService<T> {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
     private static final int MAX_ATTEMPTS = 8;
@@ -176,7 +179,13 @@
             return;
         }
         keyVersion = entry.version();
-        applyIfNewer(JsonCodec.json().decode(entry.value(), ConfigEnvelope.class));
+        try {
+            applyIfNewer(JsonCodec.json().decode(entry.value(), ConfigEnvelope.class));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=configuration_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+        }
     }
 
     private record Proposal(String document, ConfigChange change, Consumer<ConfigOutcome> handler, int attemptsLeft) {
--- a/coordination/src/main/java/org/flamingopitch/coordination/membership/Member.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/membership/Member.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.coordination.membership;
 
+import java.util.Objects;
 import org.flamingopitch.coordination.api.ProcessId;
 
 /**
@@ -13,6 +14,14 @@
  */
 public record Member(ProcessId id, String dataCentre, String region, String peerAddress, boolean draining) {
 
+    /** Rejects a member with a missing property. */
+    public Member {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(region, "region");
+        Objects.requireNonNull(peerAddress, "peerAddress");
+    }
+
     /**
      * Returns a copy of this member that is marked as draining.
      *
--- a/coordination/src/main/java/org/flamingopitch/coordination/membership/MembershipService.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/membership/MembershipService.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.coordination.membership;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -20,6 +21,8 @@
 /** Registers this process in the store under a lease that it renews, and watches the registrations of other members. */
 public final class MembershipService {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final LoopContext context;
 
     private final LeaseTimings timings;
@@ -289,6 +292,16 @@
         if (!entry.key().startsWith(keyPrefix)) {
             return;
         }
+        try {
+            applyMember(entry);
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=member_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+        }
+    }
+
+    private void applyMember(KeyValueEntry entry) {
         ProcessId id = new ProcessId(entry.key().substring(keyPrefix.length()));
         if (id.equals(self.id())) {
             ownKeyVersion = entry.deleted() ? KeyValueRequest.ABSENT : entry.version();
--- a/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipDirectory.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipDirectory.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.coordination.ownership;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,8 @@
 /** The owners of the partitions of all groups, as last received from the store; they may be out of date. */
 public final class OwnershipDirectory {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final String prefix;
 
     private final Map<String, OwnershipMap> maps = new TreeMap<>();
@@ -57,7 +60,14 @@
         if (!entry.key().startsWith(prefix) || entry.deleted()) {
             return;
         }
-        maps.put(entry.key(), JsonCodec.json().decode(entry.value(), OwnershipMap.class));
+        try {
+            maps.put(entry.key(), JsonCodec.json().decode(entry.value(), OwnershipMap.class));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=ownership_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+            return;
+        }
         owners.clear();
         entries().forEach(each -> owners.put(each.partition(), each.owner()));
     }
--- a/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipGroup.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipGroup.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.coordination.ownership;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -29,6 +30,8 @@
  */
 public final class OwnershipGroup {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(200);
 
     /** How long a proposed owner must have been a member before a process that is not draining hands over to it. */
@@ -370,16 +373,25 @@
 
     private void handleRead(KeyValueResult result) {
         if (result instanceof KeyValueResult.Found found) {
-            applyMap(
-                    JsonCodec.json().decode(found.entry().value(), OwnershipMap.class),
-                    found.entry().version());
+            applyEntry(found.entry());
         }
     }
 
+    /** Applies a stored map; one that cannot be read leaves the owners as they are. */
     private void applyEntry(KeyValueEntry entry) {
-        if (entry.key().equals(key) && !entry.deleted()) {
-            applyMap(JsonCodec.json().decode(entry.value(), OwnershipMap.class), entry.version());
+        if (!entry.key().equals(key) || entry.deleted()) {
+            return;
+        }
+        OwnershipMap stored;
+        try {
+            stored = JsonCodec.json().decode(entry.value(), OwnershipMap.class);
+        } catch (IllegalArgumentException e) {
+            LOGGER.atSevere().log(
+                    "event=ownership_unreadable key=%s version=%d detail=\"%s\"",
+                    entry.key(), entry.version(), e.getMessage());
+            return;
         }
+        applyMap(stored, entry.version());
     }
 
     private void applyMap(OwnershipMap newMap, long version) {
--- a/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipMap.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/ownership/OwnershipMap.java
@@ -13,6 +13,11 @@
  */
 public record OwnershipMap(String writeId, List<OwnershipEntry> entries) {
 
+    /** Rejects a map without entries or with one that is missing. */
+    public OwnershipMap {
+        entries = List.copyOf(entries);
+    }
+
     /**
      * Returns the map of a group without owners.
      *
--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/kv/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what is read from the key-value service. */
+package org.flamingopitch.coordination.kv;
--- a/daemon/src/main/java/org/flamingopitch/daemon/entry/EffectExecutor.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/entry/EffectExecutor.java
@@ -1,8 +1,12 @@
 package org.flamingopitch.daemon.entry;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.TimeSource;
+import org.flamingopitch.coordination.membership.Member;
 import org.flamingopitch.daemon.platform.HttpKeyValueClient;
 import org.flamingopitch.daemon.platform.HttpWorkerClient;
 import org.flamingopitch.scheduler.message.PeerMessage;
@@ -15,6 +19,8 @@
 /** Executes the effects that the core returns: calls, messages, answers and audit events. No effect blocks the loop. */
 final class EffectExecutor {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final TimeSource clock;
 
     private final HttpKeyValueClient store;
@@ -76,7 +82,7 @@
             store.call(call.request(), result -> core.accept(new NodeEvent.KeyValueAnswered(call.call(), result)));
         } else if (effect instanceof NodeEffect.ConnectPeers connect) {
             peerTransport.connectTo(connect.peers().stream()
-                    .map(member -> new PeerAddress(member.id(), HostPort.parse(member.peerAddress())))
+                    .flatMap(member -> address(member).stream())
                     .toList());
         } else if (effect instanceof NodeEffect.ReleaseWorker release) {
             workers.release(release.worker());
@@ -86,4 +92,15 @@
             onDrained.run();
         }
     }
+
+    /** Returns the address of a member; one that cannot be read must not end this process. */
+    static Optional<PeerAddress> address(Member member) {
+        try {
+            return Optional.of(new PeerAddress(member.id(), HostPort.parse(member.peerAddress())));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "event=peer_address_unreadable peer=%s detail=\"%s\"", member.id(), e.getMessage());
+            return Optional.empty();
+        }
+    }
 }
