End each call of serve with a result, also if its answer cannot be read

Cause: the clients of the list of hosts, the key-value service and the workers took null and answers with missing parts for decoded ones; the exception that followed in the I/O thread left the call without a result. The address of a worker in the configuration, whose schema permits ports up to 99,999, threw in the core and so ended the process at each start. The schedule of the list of hosts ended with the first call that could not be made.

Change: the decoded bodies reject missing parts; a call to an address that cannot be read is not sent; the schedule goes on.

The schema still permits such ports: a stored configuration with one must stay readable.

--- a/daemon/src/main/java/org/flamingopitch/daemon/platform/HostListPoller.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HostListPoller.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -72,9 +73,14 @@
         }
     }
 
+    /** Reads the list; an exception would end the schedule, so that the list would no longer be followed. */
     private void poll() {
         HttpRequest order = new HttpRequest("GET", "/v1/hosts", new byte[0], REQUEST_TIMEOUT, Instant.MAX);
-        http.send(address, 1, order, this::handleOutcome);
+        try {
+            http.send(address, 1, order, this::handleOutcome);
+        } catch (RuntimeException e) {
+            LOGGER.atWarning().withCause(e).log("event=host_list_unreadable step=hosts.send peer=%s", address);
+        }
     }
 
     private void handleOutcome(HttpOutcome outcome) {
@@ -94,7 +100,15 @@
         }
     }
 
-    private record HostBody(WorkerId host, String state) {}
+    private record HostBody(WorkerId host, String state) {
+        private HostBody {
+            Objects.requireNonNull(host, "host");
+        }
+    }
 
-    private record HostsBody(List<HostBody> hosts) {}
+    private record HostsBody(List<HostBody> hosts) {
+        private HostsBody {
+            hosts = List.copyOf(hosts);
+        }
+    }
 }
--- a/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpKeyValueClient.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpKeyValueClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.api.JsonCodec;
@@ -157,7 +158,16 @@
 
     private record VersionBody(long version) {}
 
-    private record LeaseBody(String lease) {}
+    private record LeaseBody(String lease) {
+        private LeaseBody {
+            Objects.requireNonNull(lease, "lease");
+        }
+    }
 
-    private record KeysBody(List<KeyValueEntry> entries, long revision, boolean complete) {}
+    private record KeysBody(List<KeyValueEntry> entries, long revision, boolean complete) {
+        private KeysBody {
+            entries = List.copyOf(entries);
+            entries.forEach(entry -> Objects.requireNonNull(entry.key(), "key"));
+        }
+    }
 }
--- a/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpWorkerClient.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpWorkerClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Consumer;
@@ -66,7 +67,13 @@
      * @param handler receives the result exactly once
      */
     public void call(WorkerSpec worker, WorkerRequest request, Instant notAfter, Consumer<WorkerResult> handler) {
-        HostPort address = HostPort.parse(worker.address());
+        HostPort address;
+        try {
+            address = HostPort.parse(worker.address());
+        } catch (IllegalArgumentException e) {
+            handler.accept(new WorkerResult.NotSent(new Failure(STEP, worker.address(), e.getMessage())));
+            return;
+        }
         addresses.put(worker.name(), address);
         int maxConnections = worker.connections() / MAX_CONNECTED_OWNERS;
         http.send(
@@ -169,7 +176,17 @@
         return URLEncoder.encode(text, StandardCharsets.UTF_8);
     }
 
-    private record UsageBody(Resources used, long ageMillis) {}
+    private record UsageBody(Resources used, long ageMillis) {
+        private UsageBody {
+            Objects.requireNonNull(used, "used");
+        }
+    }
 
-    private record ReportBody(List<TaskReport> tasks, List<RequestId> requests, int connections, UsageBody usage) {}
+    private record ReportBody(List<TaskReport> tasks, List<RequestId> requests, int connections, UsageBody usage) {
+        private ReportBody {
+            tasks = List.copyOf(tasks);
+            requests = List.copyOf(requests);
+            Objects.requireNonNull(usage, "usage");
+        }
+    }
 }
