--- /dev/null
+++ b/coordination/src/test/java/org/flamingopitch/coordination/supervisor/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the supervisor. */
+package org.flamingopitch.coordination.supervisor;
