--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -59,6 +59,8 @@
 
     private int largestTransactionBytes;
 
+    private final Map<String, Long> writtenBytes = new LinkedHashMap<>();
+
     private boolean unavailable;
 
     private boolean answersLost;
@@ -120,6 +122,19 @@
         return largestTransactionBytes;
     }
 
+    /**
+     * Returns the size of all values that were written to keys with a prefix so far.
+     *
+     * @param prefix the prefix
+     * @return the size in bytes
+     */
+    public long writtenBytes(String prefix) {
+        return writtenBytes.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(prefix))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
     /**
      * Returns the keys with a prefix.
      *
@@ -328,6 +343,7 @@
             KeyValueEntry entry = new KeyValueEntry(write.key(), write.value(), revision);
             entries.put(write.key(), entry);
             history.add(entry);
+            writtenBytes.merge(write.key(), (long) write.value().getBytes(StandardCharsets.UTF_8).length, Long::sum);
             leaseByKey.remove(write.key());
             if (write.leaseId() != null) {
                 leaseByKey.put(write.key(), write.leaseId());
