Add a fault soak of the real front processes

Cause: nothing ran the real processes under faults that overlap, with their promises checked from what callers and workers see.

Change: the module soak starts three hosts with the command of deploy/system.toml against stand-ins for the store and the workers, with TCP proxies on the links to both.

--- /dev/null
+++ b/soak/src/test/java/org/flamingopitch/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the soak, and a short seeded soak. */
+package org.flamingopitch.soak;
