Accept only the record of the present claim or hand-over as one's own

Cause: A claim that was carried out late, after its lease was to be revoked, was taken for a later claim of the same process. Its key hung on the earlier lease, while renewals of the later one went on to confirm the ownership, so that two owners could act. Change: The record under the owner's key names its lease, and a process compares it with that of its claim or hand-over.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -241,7 +241,7 @@
             stepDown("another process holds the owner's key");
         }
         recordSighting(entry);
-        if (!owning() && handoverLeaseId != null && record.process().equals(self.process())) {
+        if (!owning() && record.isClaimOf(self, handoverLeaseId)) {
             acceptHandover(entry.version());
         }
         listener.ownerChanged();
@@ -307,7 +307,7 @@
         KeyValueRequest claim = new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(self), leaseId)),
+                        CellKeys.OWNER, JsonCodec.compact().encode(self.withLease(leaseId)), leaseId)),
                 List.of());
         context.callStore(claim, outcome -> applyClaimResult(outcome, claimedAt));
     }
@@ -326,11 +326,14 @@
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
     }
 
-    /** Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. */
+    /**
+     * Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. A record of this
+     * process under another lease is an earlier claim that was carried out late; renewals would not keep it.
+     */
     private void applyClaimRead(KeyValueResult read, Instant sentAt) {
         if (read instanceof KeyValueResult.Found found) {
             OwnerRecord record = JsonCodec.compact().decode(found.entry().value(), OwnerRecord.class);
-            if (record.process().equals(self.process())) {
+            if (record.isClaimOf(self, leaseId)) {
                 becomeOwner(found.entry().version(), sentAt);
                 return;
             }
@@ -431,7 +434,9 @@
         KeyValueRequest write = new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, version)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(successor), successorLeaseId)),
+                        CellKeys.OWNER,
+                        JsonCodec.compact().encode(successor.withLease(successorLeaseId)),
+                        successorLeaseId)),
                 List.of());
         context.callStore(write, result -> {
             LOGGER.atInfo().log("event=handed_over to=%s result=%s", successor.process(), result);
