Revert "Accept only the record of the present claim or hand-over as one's own"

Cause: OuterNamesTest found that the owner's record gains a field, which was not to change: hosts of the present version reject unknown fields, so that they could not read who owns the cell while hosts are replaced one after the other. Result: The names that leave the process are as before. Conclusion: Writing the record again under the present lease, on condition of the version found, needs no new field.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -241,7 +241,7 @@
             stepDown("another process holds the owner's key");
         }
         recordSighting(entry);
-        if (!owning() && record.isClaimOf(self, handoverLeaseId)) {
+        if (!owning() && handoverLeaseId != null && record.process().equals(self.process())) {
             acceptHandover(entry.version());
         }
         listener.ownerChanged();
@@ -307,7 +307,7 @@
         KeyValueRequest claim = new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(self.withLease(leaseId)), leaseId)),
+                        CellKeys.OWNER, JsonCodec.compact().encode(self), leaseId)),
                 List.of());
         context.callStore(claim, outcome -> applyClaimResult(outcome, claimedAt));
     }
@@ -326,14 +326,11 @@
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
     }
 
-    /**
-     * Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. A record of this
-     * process under another lease is an earlier claim that was carried out late; renewals would not keep it.
-     */
+    /** Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. */
     private void applyClaimRead(KeyValueResult read, Instant sentAt) {
         if (read instanceof KeyValueResult.Found found) {
             OwnerRecord record = JsonCodec.compact().decode(found.entry().value(), OwnerRecord.class);
-            if (record.isClaimOf(self, leaseId)) {
+            if (record.process().equals(self.process())) {
                 becomeOwner(found.entry().version(), sentAt);
                 return;
             }
@@ -434,9 +431,7 @@
         KeyValueRequest write = new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, version)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER,
-                        JsonCodec.compact().encode(successor.withLease(successorLeaseId)),
-                        successorLeaseId)),
+                        CellKeys.OWNER, JsonCodec.compact().encode(successor), successorLeaseId)),
                 List.of());
         context.callStore(write, result -> {
             LOGGER.atInfo().log("event=handed_over to=%s result=%s", successor.process(), result);
