Judge negligible interference at full speed before a task is moved

Cause: The exemption of counted interference at a quarter of the speed, so that a task that could run at full speed elsewhere stayed beside a task with little headroom and was kept slow. Change: Only what is negligible at full speed stays, as placement judges it. Result: ThrottleControllerTest passes, with a case of a task that is negligible only at a quarter of its speed.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -183,8 +183,14 @@
         return latencyCriticalRuns.stream()
                 .filter(latencyCritical -> interference.isCostKnown(
                         latencyCritical, bestEffort.task().step().spec()))
-                .anyMatch(latencyCritical -> !tolerates(
-                        latencyCritical, interference.baseline(latencyCritical), bestEffort, LOWEST_SPEED_PERCENT));
+                .anyMatch(latencyCritical -> interferesTooMuch(latencyCritical, bestEffort));
+    }
+
+    /** Negligible interference is judged at full speed, as placement does; a task must not stay only to be slow. */
+    private boolean interferesTooMuch(Run latencyCritical, Run bestEffort) {
+        double cost = interference.fullSpeedCost(latencyCritical, bestEffort);
+        double remaining = interference.baseline(latencyCritical) - cost * LOWEST_SPEED_PERCENT / FULL_SPEED_PERCENT;
+        return cost > LatencyHeadroom.NEGLIGIBLE_COST && remaining < TARGET_HEADROOM;
     }
 
     private static Duration maxPause(Run bestEffort) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ThrottleControllerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ThrottleControllerTest.java
@@ -38,6 +38,12 @@
         assertThat(isMoved(0.1)).isFalse();
     }
 
+    /** At a quarter of its speed this one would be negligible; elsewhere it can run at full speed. */
+    @Test
+    void taskThatInterferesAtFullSpeedIsMovedFromATaskWithLowHeadroom() {
+        assertThat(isMoved(1)).isTrue();
+    }
+
     @Test
     void taskThatInterferesIsMovedFromATaskWithLowHeadroom() {
         assertThat(isMoved(4)).isTrue();
