Ask a worker whether it is reserved for another task in one place

Cause: Four classes compared the task of a reservation with their own. Change: WorkerState.reservedForOther. Conclusion: Simpler to read.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacleCounter.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacleCounter.java
@@ -57,8 +57,7 @@
         if (obstacle != PlacementObstacle.NONE) {
             return obstacle;
         }
-        Task reservedFor = candidate.worker().reservedFor(now);
-        if (reservedFor != null && reservedFor != task) {
+        if (candidate.worker().reservedForOther(task, now)) {
             return PlacementObstacle.RESERVED;
         }
         return candidate.admits(task) ? PlacementObstacle.NONE : PlacementObstacle.ISOLATION;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -123,15 +123,14 @@
             double bestScore = PlacementPolicy.NOT_PERMITTED;
             for (int i = 0; i < scores.length; i++) {
                 WorkerState worker = candidates.get(i).worker();
-                Task reservedFor = worker.reservedFor(now);
-                boolean isMoveTarget = reservedFor == task && task.moving();
+                boolean isMoveTarget = task.moving() && worker.reservedFor(now) == task;
                 if (isMoveTarget
                         && scores[i] > PlacementPolicy.NOT_PERMITTED
                         && candidates.get(i).admits(task)) {
                     return candidates.get(i);
                 }
                 if (scores[i] <= bestScore
-                        || reservedFor != null && reservedFor != task
+                        || worker.reservedForOther(task, now)
                         || task.hasRunOn(worker)
                         || !candidates.get(i).admits(task)) {
                     continue;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -77,12 +77,10 @@
     }
 
     private boolean canRun(Task task, PlacementCandidate candidate, Instant now) {
-        Task reservedFor = candidate.worker().reservedFor(now);
-        boolean available = reservedFor == null || reservedFor == task;
         PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
         boolean lifted =
                 LIFTED_OBSTACLES.contains(obstacle) || candidate.quarantined() && obstacle == PlacementObstacle.NONE;
-        return available && lifted && candidate.admits(task);
+        return lifted && !candidate.worker().reservedForOther(task, now) && candidate.admits(task);
     }
 
     private static boolean lastResort(Task task, PlacementCandidate candidate) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingTaskLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WaitingTaskLogger.java
@@ -59,11 +59,10 @@
                     && placementPolicy.permits(task.step(), worker)
                     && task.step().spec().reserved().fitsInto(worker.free());
             if (hasCapacity) {
-                Task reservedFor = worker.reservedFor(now);
                 withCapacity++;
                 unusable += workerRegistry.usable(worker, now) ? 0 : 1;
                 quarantined += health.quarantinedForAll(worker.id(), now) ? 1 : 0;
-                reserved += reservedFor != null && reservedFor != task ? 1 : 0;
+                reserved += worker.reservedForOther(task, now) ? 1 : 0;
             }
         }
         LOGGER.atWarning().log(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -390,6 +390,12 @@
         return needed && now.isBefore(reservedUntil) ? reservationTask : null;
     }
 
+    /** Returns whether the free capacity is reserved for another task than the given one. */
+    boolean reservedForOther(Task task, Instant now) {
+        Task reservedFor = reservedFor(now);
+        return reservedFor != null && reservedFor != task;
+    }
+
     Instant reservedUntil() {
         return reservedUntil;
     }
