Open a worker for all tasks after a trial that succeeds early

Cause: Since a task of an idle job may run on a worker within the first 3 s of its quarantine. Its success ended the quarantine for short tasks but not that for all, and the planner of idle jobs takes only workers in quarantine beyond it, so that a healthy worker took no task on either way for up to 3 s. Change: The success of a trial ends both. Result: earlyTrialThatSucceedsOpensTheWorkerForAllTasks failed before. Conclusion: A worker that has proved itself is open at once.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
@@ -51,6 +51,7 @@
         WorkerHistory history = historyOf(worker);
         if (history.isTrial(placedAt)) {
             history.quarantinedUntil = Instant.MIN;
+            history.quarantinedForAllUntil = Instant.MIN;
         }
         history.failedJobs.clear();
         history.nextQuarantine = INITIAL_QUARANTINE;
@@ -75,9 +76,9 @@
     }
 
     /**
-     * Quarantines a worker: it gets no new work for a time, which doubles with each quarantine up to a
-     * maximum until a run succeeds. For long-running tasks the time stays at its initial value, since they run on other
-     * workers for so long that these may have no capacity until the quarantine ends.
+     * Quarantines a worker: it gets no new work for a time, unless no other worker takes a task of an idle job. The time
+     * doubles with each quarantine up to a maximum until a run succeeds. For long-running tasks it stays at its initial
+     * value, since they run on other workers for so long that these may have no capacity until the quarantine ends.
      */
     void quarantine(WorkerId worker, Instant now) {
         WorkerHistory history = historyOf(worker);
@@ -98,7 +99,7 @@
         return history != null && now.isBefore(history.quarantinedUntil);
     }
 
-    /** Returns whether a worker gets no new tasks at all, not even long-running ones. */
+    /** Returns whether a worker gets no new tasks, not even long-running ones, but for jobs that are idle. */
     boolean quarantinedForAll(WorkerId worker, Instant now) {
         WorkerHistory history = histories.get(worker);
         return history != null && now.isBefore(history.quarantinedForAllUntil);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
@@ -61,6 +61,14 @@
         assertThat(health.quarantined(WORKER, after(5))).isFalse();
     }
 
+    /** A task of an idle job may run as a trial while the worker still takes no task at all. */
+    @Test
+    void earlyTrialThatSucceedsOpensTheWorkerForAllTasks() {
+        health.quarantine(WORKER, START);
+        health.recordSuccess(WORKER, 1, after(1));
+        assertThat(health.quarantinedForAll(WORKER, after(2))).isFalse();
+    }
+
     @Test
     void trialThatFailsBeginsAnotherQuarantine() {
         growQuarantine();
