Count the idle time of a job in one way, from the election and the due time on

Cause: The planner of idle jobs had its own idle time, without the two bounds of the log: an occurrence counted as idle from the moment that it was due, and after an election all waiting jobs of the former owner were started at once, before any measurement. The log said 0 s while the planner acted. Change: The planner asks IdleJob, which has the threshold for both. Result: jobOfAFormerOwnerWaitsAfterTheElection and occurrenceThatHasJustBecomeDueWaits failed before. Conclusion: What the log calls idle is what the planner acts on, apart from jobs with an open run.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJob.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJob.java
@@ -18,6 +18,9 @@
  */
 record IdleJob(Task task, Duration time, Map<Inactivity, Integer> runs) {
 
+    /** The platform expects a job to have a task at work within 3 s if there is capacity for it. */
+    static final Duration NOTICEABLE_TIME = Duration.ofSeconds(2);
+
     /**
      * Returns the job as an idle one, or null if it is not idle.
      *
@@ -71,6 +74,11 @@
         return second.isAfter(first) ? second : first;
     }
 
+    /** Returns whether the job has been idle for so long that something must be done about it. */
+    boolean noticeable() {
+        return time.compareTo(NOTICEABLE_TIME) >= 0;
+    }
+
     /** Returns what the task waits for, apart from a worker that takes it. */
     String state(Instant now) {
         if (task.run() != null) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
@@ -15,7 +15,7 @@
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
- * Logs jobs that have been idle for {@link #MIN_IDLE_TIME}: what their task needs, and how many workers each {@link
+ * Logs jobs that have been idle for {@link IdleJob#NOTICEABLE_TIME}: what their task needs, and how many workers each {@link
  * PlacementObstacle} excludes. Measures the longest idle time.
  */
 final class IdleJobLogger {
@@ -24,9 +24,6 @@
 
     private static final Duration LOG_INTERVAL = Duration.ofSeconds(2);
 
-    /** The platform expects a job to have a task at work within 3 s if there is capacity for it. */
-    private static final Duration MIN_IDLE_TIME = Duration.ofSeconds(2);
-
     /** Bounds the log volume when many jobs are idle. */
     private static final int MAX_LINES = 3;
 
@@ -69,7 +66,7 @@
         List<IdleJob> idleJobs = new ArrayList<>();
         for (Job job : jobs) {
             IdleJob idle = job.open() ? IdleJob.of(job, answering, observedSince, timeOfDayMillis, now) : null;
-            if (idle != null && idle.time().compareTo(MIN_IDLE_TIME) >= 0) {
+            if (idle != null && idle.noticeable()) {
                 idleJobs.add(idle);
             }
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -16,14 +16,11 @@
  * Finds short tasks that would wait for good in a cell with free capacity: each worker that permits them serves a
  * latency-critical image that they slow too much, has its unused processor time demanded by other best-effort tasks, or
  * is in quarantine. One task of such a job is started on the worker where it does least harm, a best-effort task at the
- * lowest speed. In a cell under load, capacity becomes free by itself, and slow tasks would take the headroom of others,
+ * lowest speed at first. In a cell under load, capacity becomes free by itself, and slow tasks would take the headroom of others,
  * so that no task is started in this way.
  */
 final class StarvedTaskPlanner {
 
-    /** The platform expects a job to have a task at work within 3 s if there is capacity for it. */
-    private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(2);
-
     /** From this share of its processor time reserved on, a service counts as loaded. */
     private static final double LOADED_SHARE = 0.5;
 
@@ -38,10 +35,14 @@
 
     private final PlacementPolicy placementPolicy;
 
+    /** The start of this ownership; when runs of a former owner ended is not known. */
+    private final Instant observedSince;
+
     private Instant plannedAt = Instant.MIN;
 
-    StarvedTaskPlanner(PlacementPolicy placementPolicy) {
+    StarvedTaskPlanner(PlacementPolicy placementPolicy, Instant observedSince) {
         this.placementPolicy = placementPolicy;
+        this.observedSince = observedSince;
     }
 
     /**
@@ -57,7 +58,7 @@
         Map<ServiceName, Boolean> loadedServices = new HashMap<>();
         for (Job job : openJobs) {
             boolean loaded = loadedServices.computeIfAbsent(job.queue().service(), service -> loaded(service, pass));
-            if (!loaded && !job.hasOpenRun() && !now.isBefore(idleSince(job).plus(MAX_IDLE_TIME))) {
+            if (!loaded && !job.hasOpenRun() && idleForLong(job, timeOfDayMillis, now)) {
                 selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
         }
@@ -95,17 +96,9 @@
         return candidate.worker().runs().stream().filter(Run::slowStart).count();
     }
 
-    /** Returns since when a job without an open run has had none. */
-    private static Instant idleSince(Job job) {
-        Instant latest = job.submittedAt();
-        for (List<Step> steps : job.occurrences()) {
-            for (Step step : steps) {
-                for (Task task : step.tasks()) {
-                    latest = task.waitingSince().isAfter(latest) ? task.waitingSince() : latest;
-                }
-            }
-        }
-        return latest;
+    private boolean idleForLong(Job job, long timeOfDayMillis, Instant now) {
+        IdleJob idle = IdleJob.of(job, worker -> true, observedSince, timeOfDayMillis, now);
+        return idle != null && idle.noticeable();
     }
 
     private static List<Task> waitingShortTasks(Job job, long timeOfDayMillis, Instant now) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -98,7 +98,7 @@
         this.rackWaits = rackWaits;
         this.copyPlanner = copyPlanner;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
-        this.starvedTaskPlanner = new StarvedTaskPlanner(placementPolicy);
+        this.starvedTaskPlanner = new StarvedTaskPlanner(placementPolicy, context.now());
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.flamingopitch.scheduler.cell.model.JobId;
+import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.junit.jupiter.api.Test;
 
 /** A slow start must be limited to jobs that would wait for good, or it takes the headroom of others. */
@@ -18,7 +20,7 @@
 
     private final PlacementPolicy placementPolicy = new PlacementPolicy(health, new InterferenceEstimator());
 
-    private final StarvedTaskPlanner planner = new StarvedTaskPlanner(placementPolicy);
+    private final StarvedTaskPlanner planner = new StarvedTaskPlanner(placementPolicy, Instant.MIN);
 
     private final WorkerState worker = OwnerFixtures.worker("w", 16_000);
 
@@ -72,6 +74,24 @@
         assertThat(select(job)).isEmpty();
     }
 
+    /** A new owner has no measurements at first, and all waiting jobs would be started at once. */
+    @Test
+    void jobOfAFormerOwnerWaitsAfterTheElection() {
+        StarvedTaskPlanner successor = new StarvedTaskPlanner(placementPolicy, now.minusSeconds(1));
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
+        assertThat(successor.selectTasks(List.of(job(LONG)), pass, now.toEpochMilli(), now))
+                .isEmpty();
+    }
+
+    @Test
+    void occurrenceThatHasJustBecomeDueWaits() {
+        Instant due = now.minusSeconds(1);
+        JobSpec spec = new JobSpec(
+                "work", List.of(OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000)), 2, due.toEpochMilli(), 60_000);
+        Job job = new Job(new JobId("t"), OwnerFixtures.queue(), spec, now.minusSeconds(30), 0);
+        assertThat(select(job)).isEmpty();
+    }
+
     @Test
     void jobInALoadedCellWaits() {
         reserve(8_000);
