Start the next task of an idle job at once after a slow one

Cause: A job that only the planner of idle jobs serves was idle for 2 s after each of its tasks, since an end begins the idle time anew. Change: A job whose last task was started by the planner is served without a wait, until a task of it is placed as usual. Result: jobIsNotIdleAgainAfterEachOfItsSlowTasks failed before.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -7,9 +7,11 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 
 /**
@@ -38,6 +40,9 @@
     /** The start of this ownership; when runs of a former owner ended is not known. */
     private final Instant observedSince;
 
+    /** The jobs whose last task was started by this planner; they do not wait again for the next one. */
+    private final Set<JobId> servedJobs = new HashSet<>();
+
     private Instant plannedAt = Instant.MIN;
 
     StarvedTaskPlanner(PlacementPolicy placementPolicy, Instant observedSince) {
@@ -56,15 +61,35 @@
         plannedAt = now;
         List<Task> selected = new ArrayList<>();
         Map<ServiceName, Boolean> loadedServices = new HashMap<>();
+        Set<JobId> stillServed = new HashSet<>();
         for (Job job : openJobs) {
+            boolean served = servedJobs.contains(job.id()) && !hasUsualRun(job);
+            if (served) {
+                stillServed.add(job.id());
+            }
             boolean loaded = loadedServices.computeIfAbsent(job.queue().service(), service -> loaded(service, pass));
-            if (!loaded && !job.hasOpenRun() && idleForLong(job, timeOfDayMillis, now)) {
+            if (!loaded && !job.hasOpenRun() && (served || idleForLong(job, timeOfDayMillis, now))) {
                 selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
         }
+        servedJobs.retainAll(stillServed);
         return selected;
     }
 
+    /** Takes note that a selected task was started. */
+    void onStarted(Task task) {
+        servedJobs.add(task.job().id());
+    }
+
+    /** Returns whether a run of the job was placed as usual, so that the job is no longer starved. */
+    private static boolean hasUsualRun(Job job) {
+        return job.occurrences().stream()
+                .flatMap(List::stream)
+                .flatMap(step -> step.tasks().stream())
+                .flatMap(task -> task.runs().stream())
+                .anyMatch(run -> !run.slowStart());
+    }
+
     /** Returns the worker on which a task can run in spite of an obstacle and does least harm, or null if there is none. */
     PlacementCandidate chooseWorker(Task task, PlacementPass pass, Instant now) {
         return pass.candidates().stream()
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -299,6 +299,7 @@
             return;
         }
         Run run = place(task, candidate, now);
+        starvedTaskPlanner.onStarted(task);
         boolean slow = task.step().spec().fills();
         if (slow) {
             run.markSlowStart();
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -130,6 +130,27 @@
         assertThat(idleJobs(jobCount)).isEmpty();
     }
 
+    /** Each end began the wait of an idle job anew, so that a job of short tasks did nothing most of the time. */
+    @Test
+    void jobIsNotIdleAgainAfterEachOfItsSlowTasks() {
+        startLatencyCriticalTasks(7_000);
+        StepSpec step = new StepSpecBuilder()
+                .count(3)
+                .demand(new Resources(3_000, 100, 0))
+                .image("heavy")
+                .fills(true)
+                .maxPerWorker(1)
+                .build();
+        session.call("h1", new CallerOperation.Submit(new JobSpec("work", List.of(step), 0, 0, 0)), "/q/" + HEAVY_JOB);
+        session.advance(Duration.ofSeconds(3));
+        for (int i = 0; i < 2; i++) {
+            TaskRef task = session.running(HEAVY_JOB).get(0);
+            workerOf(task).end(task, EndKind.DONE);
+            session.advance(Duration.ofMillis(800));
+            assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(task);
+        }
+    }
+
     /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
     @Test
     void taskWaitsWhileMostCapacityIsReserved() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -74,6 +74,20 @@
         assertThat(select(job)).isEmpty();
     }
 
+    @Test
+    void jobThatGotAUsualRunWaitsAgainAfterIt() {
+        Job job = job(LONG);
+        Task task = OwnerFixtures.task(job);
+        planner.onStarted(task);
+        Run run = OwnerFixtures.run(task, worker, 1);
+        assertThat(select(job)).isEmpty();
+        run.release(now.minusMillis(100));
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
+        Instant later = now.plusMillis(300);
+        assertThat(planner.selectTasks(List.of(job), pass, later.toEpochMilli(), later))
+                .isEmpty();
+    }
+
     /** A new owner has no measurements at first, and all waiting jobs would be started at once. */
     @Test
     void jobOfAFormerOwnerWaitsAfterTheElection() {
