Trial: Bound the leases of workers by notes of the owner in the store

Cause: a successor counted the leases that a silent former owner may have extended from its own election: 4 s without the store, 6 s of lease, clocks.

Change: the owner writes a note each second on condition that it still holds the owner's key, and extends leases to at most 7.3 s after it sent the last note that the store confirmed. Hosts see the notes by their watch of the owner's key. A successor reads the last note once after its election and waits for 7.75 s from when it first saw it. Without a note of the last owner (an earlier version, an owner that may have been missed) it waits as before. A re-list of the watch that shows the owner's record unchanged no longer makes the former owner unknown. Hosts that have just started campaign 0.3 s later, as they saw too little. A worker whose lease could be extended only for a short time is polled more often until a note is confirmed. The constructors in three tests get the new parameter; CampaignDelayTest compares hosts that run for a minute.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -299,6 +299,11 @@
                 .start();
     }
 
+    @Override
+    public void formerNoteIdentified(FormerOwner formerOwner, Instant noteSeenAt) {
+        ownedCell.recordFormerNote(formerOwner, noteSeenAt);
+    }
+
     @Override
     public void deposed(String cause) {
         CellOwner formerOwner = ownedCell;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CampaignDelay.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CampaignDelay.java
@@ -1,11 +1,13 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.flamingopitch.coordination.api.ProcessId;
 
 /**
  * Computes how long a process waits before it campaigns for a vacant owner's key. Hosts with more processor time and a
- * shorter way to the store campaign earlier, so that the host that can order the most workers usually wins.
+ * shorter way to the store campaign earlier, so that the host that can order the most workers usually wins. Hosts that
+ * have just started campaign last, since they know too little of the former owner to shorten the wait for its leases.
  */
 final class CampaignDelay {
 
@@ -23,17 +25,27 @@
     /** Upper bound of the delay added per candidate, so that two candidates seldom write at the same time. */
     private static final long MAX_JITTER_MILLIS = 60;
 
+    /** Longer than the other delays of two hosts differ. */
+    private static final Duration NEW_PROCESS_DELAY = Duration.ofMillis(300);
+
+    /** After this time a process knows as much of the former owner as those that started earlier. */
+    private static final Duration NEW_PROCESS_TIME = Duration.ofSeconds(6);
+
     private final ProcessId process;
 
+    private final Instant startedAt;
+
     private final Duration processorDelay;
 
     /**
      * Creates the delays of one process.
      *
      * @param candidate the process
+     * @param startedAt when the process began to watch the owner's key
      */
-    CampaignDelay(OwnerRecord candidate) {
+    CampaignDelay(OwnerRecord candidate, Instant startedAt) {
         this.process = candidate.process();
+        this.startedAt = startedAt;
         double factor = 1 / Math.max(candidate.processors(), Double.MIN_NORMAL);
         double millis = Math.min(MAX_PROCESSOR_DELAY.toMillis(), PROCESSOR_DELAY.toMillis() * factor);
         this.processorDelay = Duration.ofMillis((long) millis);
@@ -45,12 +57,13 @@
      * @param roundTrip the round trip to the store
      * @param vacantVersion the version at which the key became vacant; varies the order of equal hosts
      */
-    Duration of(Duration roundTrip, long vacantVersion) {
+    Duration of(Duration roundTrip, long vacantVersion, Instant now) {
         Duration distanceDelay = roundTrip.multipliedBy(ROUND_TRIPS);
         if (distanceDelay.compareTo(MAX_ROUND_TRIP_DELAY) > 0) {
             distanceDelay = MAX_ROUND_TRIP_DELAY;
         }
         long jitter = Math.floorMod(process.value().hashCode() * 31L + vacantVersion, MAX_JITTER_MILLIS);
-        return distanceDelay.plus(processorDelay).plusMillis(jitter);
+        Duration newProcessDelay = now.isBefore(startedAt.plus(NEW_PROCESS_TIME)) ? NEW_PROCESS_DELAY : Duration.ZERO;
+        return distanceDelay.plus(processorDelay).plus(newProcessDelay).plusMillis(jitter);
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
@@ -5,12 +5,15 @@
 /** The keys in the coordination store under which a cell keeps its records. */
 public final class CellKeys {
 
-    /** The prefix of {@link #OWNER}, for watching it. */
+    /** The prefix of {@link #OWNER} and {@link #OWNER_NOTE}, for watching them. */
     public static final String OWNER_PREFIX = "flamingopitch/owner/";
 
     /** The key of the {@link OwnerRecord}, written under the lease of the cell's owner. Its version is the fencing token. */
     public static final String OWNER = OWNER_PREFIX + "cell";
 
+    /** The key that the cell's owner writes again and again while it extends the leases of workers. */
+    public static final String OWNER_NOTE = OWNER_PREFIX + "note";
+
     /** The key of the ledger entry, which holds the commit marker of the last transaction of any owner. */
     public static final String LEDGER = "flamingopitch/ledger";
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -30,14 +30,8 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /**
-     * How long an owner may extend leases and start tasks after the store last confirmed its ownership. A successor waits
-     * as long, and then for the leases, before it treats runs on workers that it cannot reach as ended.
-     */
-    private static final Duration MAX_UNCONFIRMED_TIME = Duration.ofSeconds(4);
-
-    /** Added to the latest possible expiry of the former owner's leases, as an order may wait in a buffer. */
-    private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(300);
+    /** With less than this left of a lease, no task is started. */
+    private static final Duration MIN_START_LEASE = Duration.ofMillis(2_500);
 
     private static final long MILLICORES_PER_CORE = 1_000;
 
@@ -71,8 +65,7 @@
 
     private final Instant electedAt;
 
-    /** The longest time for which a worker may hold a lease, by the clock of this process. */
-    private final Duration longestLease;
+    private final LeaseBounds leaseBounds;
 
     private final Evacuations evacuations = new Evacuations();
 
@@ -108,15 +101,17 @@
         this.refusals = new JobRefusals(context.metrics());
         this.unconfirmedRequests = new UnconfirmedRequests(election);
         this.electedAt = context.now();
-        // The clock of a worker may be 2 % slow.
-        this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
-        Instant formerLeaseExpiry =
-                electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
+        this.leaseBounds = new LeaseBounds(timings.maxLease());
         this.statistics = new LearnedStatistics(electedAt, context.gates());
-        this.runManager =
-                new RunManager(context, timings, fencingToken, jobs, statistics, this::stepDownAfterRejection);
+        this.runManager = new RunManager(
+                context, timings, fencingToken, jobs, statistics, this::leaseLimit, this::stepDownAfterRejection);
         this.workerRegistry = new WorkerRegistry(
-                context, fencingToken, timings.maxLease(), formerLeaseExpiry, evacuations, runManager);
+                context,
+                fencingToken,
+                timings.maxLease(),
+                leaseBounds.expiryAfterLoss(electedAt),
+                evacuations,
+                runManager);
         this.load = new CellLoad(jobs, workerRegistry, statistics.bestEffortCompletionRate());
         this.recordsLoader = new CellRecordsLoader(context, this::restore);
     }
@@ -128,20 +123,35 @@
     }
 
     /**
-     * Shortens the wait for workers that cannot be reached, since the former owner extends no more leases. The claim of
-     * an owner is sent before its record is seen, and it acts for {@link #MAX_UNCONFIRMED_TIME} after that at most, even
-     * if it learns late that it was elected; the same holds for all owners before it.
+     * Shortens the wait for workers that cannot be reached, since the former owner extends no more leases.
      *
      * @param formerOwner an owner that has been found not to own the cell any more
      */
     public void recordFormerOwnerStopped(FormerOwner formerOwner) {
-        Instant now = context.now();
-        Instant lastActAt = formerOwner.seenAt().plus(MAX_UNCONFIRMED_TIME);
-        Instant stoppedAt = lastActAt.isAfter(now) ? lastActAt : now;
         LOGGER.atInfo().log(
                 "event=former_owner_stopped owner=%s after_election_ms=%d",
-                formerOwner.owner().process(), Duration.between(electedAt, now).toMillis());
-        workerRegistry.limitFormerLeases(stoppedAt.plus(longestLease).plus(TAKEOVER_MARGIN));
+                formerOwner.owner().process(),
+                Duration.between(electedAt, context.now()).toMillis());
+        workerRegistry.limitFormerLeases(leaseBounds.expiryAfterStop(formerOwner, context.now()));
+    }
+
+    /**
+     * Shortens the wait for workers that cannot be reached, since the last owner extended leases for a limited time after
+     * its last note.
+     *
+     * @param formerOwner the last owner
+     * @param noteSeenAt when its last note was seen
+     */
+    public void recordFormerNote(FormerOwner formerOwner, Instant noteSeenAt) {
+        LOGGER.atInfo().log(
+                "event=former_note owner=%s age_ms=%d",
+                formerOwner.owner().process(),
+                Duration.between(noteSeenAt, context.now()).toMillis());
+        workerRegistry.limitFormerLeases(leaseBounds.expiryAfterNote(formerOwner, noteSeenAt));
+    }
+
+    private Instant leaseLimit() {
+        return LeaseBounds.extensionLimit(election.notedAt());
     }
 
     /**
@@ -150,7 +160,7 @@
      * @return whether this process owns the cell and the former owner may still extend leases
      */
     public boolean mayFormerOwnerAct() {
-        return !closed && context.now().isBefore(electedAt.plus(MAX_UNCONFIRMED_TIME));
+        return !closed && context.now().isBefore(electedAt.plus(LeaseBounds.MAX_UNCONFIRMED_TIME));
     }
 
     /**
@@ -247,7 +257,7 @@
             return;
         }
         unconfirmedRequests.release(context.now(), this::execute);
-        workerRegistry.tick(mayAct());
+        workerRegistry.tick(leaseLimit());
         runManager.tick();
         commitLog.sendIfDue();
         if (storeAway()) {
@@ -281,23 +291,24 @@
     }
 
     /**
-     * Returns whether the store has confirmed the ownership recently enough to start tasks and to extend leases.
+     * Returns whether the store has confirmed the ownership recently enough to start tasks.
      *
      * @return whether this owner may act
      */
     public boolean mayAct() {
-        return context.now().isBefore(election.confirmedAt().plus(MAX_UNCONFIRMED_TIME));
+        return context.now().isBefore(election.confirmedAt().plus(LeaseBounds.MAX_UNCONFIRMED_TIME));
     }
 
     /**
-     * Returns whether tasks may be placed and started: this process may act, and the store has confirmed recently enough
-     * which data centres are under evacuation. After an outage of the store, its ownership may be confirmed earlier than
-     * a request that was made during the outage is read.
+     * Returns whether tasks may be placed and started: this process may act and grant leases, and the store has confirmed
+     * recently enough which data centres are under evacuation. After an outage of the store, its ownership may be
+     * confirmed earlier than a request that was made during the outage is read.
      */
     private boolean mayPlace() {
         boolean evacuationsConfirmed = timings.evacuationLimit().isZero()
-                || context.now().isBefore(evacuationsConfirmedAt.plus(MAX_UNCONFIRMED_TIME));
-        return evacuations.known() && evacuationsConfirmed && mayAct();
+                || context.now().isBefore(evacuationsConfirmedAt.plus(LeaseBounds.MAX_UNCONFIRMED_TIME));
+        boolean mayGrantLeases = context.now().plus(MIN_START_LEASE).isBefore(leaseLimit());
+        return evacuations.known() && evacuationsConfirmed && mayAct() && mayGrantLeases;
     }
 
     private void restore(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -56,6 +56,8 @@
 
     private final FormerOwnerTracker formerOwnerTracker;
 
+    private final OwnerNotes notes;
+
     private Instant confirmedAt = Instant.MIN;
 
     private int renewalsInFlight;
@@ -85,14 +87,18 @@
         this.context = context;
         this.self = self;
         this.listener = listener;
-        this.campaignDelay = new CampaignDelay(self);
+        this.campaignDelay = new CampaignDelay(self, context.now());
         this.formerOwnerTracker = new FormerOwnerTracker(self);
+        this.notes = new OwnerNotes(context, self, this::reportFormerNote, this::stepDown);
         this.watcher = new StoreWatcher(context, CellKeys.OWNER_PREFIX, MAX_WATCH_WAIT);
     }
 
     /** Starts to watch the owner's key and to campaign when it is absent. */
     public void start() {
         watcher.addListener(this::applyOwnerEntry);
+        watcher.addListener(notes::observe);
+        watcher.addAnswerListener(() ->
+                owner.ifPresent(present -> formerOwnerTracker.recordUnchanged(ownerVersion, watcher.completeLists())));
         watcher.start();
         context.schedule(campaignDelay(), this::campaignIfVacant);
     }
@@ -140,6 +146,15 @@
         return confirmedAt;
     }
 
+    /**
+     * Returns when the last note was sent that the store confirmed. Leases may be extended for a limited time after it.
+     *
+     * @return when the note was sent, {@link Instant#MIN} for none
+     */
+    public Instant notedAt() {
+        return notes.confirmedAt();
+    }
+
     /**
      * Returns whether the store is unreachable.
      *
@@ -167,6 +182,7 @@
     public void requireConfirmation() {
         confirmedAt = Instant.MIN;
         suspendedUntil = context.now();
+        notes.requireConfirmation();
         if (owning()) {
             renew();
         }
@@ -187,6 +203,7 @@
             owner = Optional.empty();
         }
         ownedVersion = 0;
+        notes.stop();
         formerOwnerTracker.reset();
         revokeLease();
         listener.deposed(cause);
@@ -260,9 +277,14 @@
     private void reportFormerOwner() {
         if (owning()) {
             formerOwnerTracker.formerOwner(ownedVersion).ifPresent(listener::formerOwnerIdentified);
+            reportFormerNote();
         }
     }
 
+    private void reportFormerNote() {
+        formerOwnerTracker.formerOwner(ownedVersion).ifPresent(former -> notes.reportFormerNote(former, listener));
+    }
+
     /**
      * Returns whether an owner is a former process of this host. It has ended, as this process uses its address, so its
      * key can be replaced before its lease expires.
@@ -276,7 +298,7 @@
     }
 
     private Duration campaignDelay() {
-        return campaignDelay.of(roundTrip, ownerVersion);
+        return campaignDelay.of(roundTrip, ownerVersion, context.now());
     }
 
     private void campaignIfVacant() {
@@ -304,12 +326,16 @@
         }
         Instant claimedAt = context.now();
         long replacedVersion = owner.isPresent() ? ownerVersion : KeyValueRequest.ABSENT;
-        KeyValueRequest claim = new KeyValueRequest.Transaction(
+        KeyValueRequest claim = writeOwner(replacedVersion, self, leaseId);
+        context.callStore(claim, outcome -> applyClaimResult(outcome, claimedAt));
+    }
+
+    private static KeyValueRequest writeOwner(long replacedVersion, OwnerRecord record, String lease) {
+        String value = JsonCodec.compact().encode(record);
+        return new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
-                List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(self), leaseId)),
+                List.of(new KeyValueRequest.Write(CellKeys.OWNER, value, lease)),
                 List.of());
-        context.callStore(claim, outcome -> applyClaimResult(outcome, claimedAt));
     }
 
     private void applyClaimResult(KeyValueResult result, Instant sentAt) {
@@ -379,6 +405,7 @@
         recordConfirmation(sentAt);
         LOGGER.atInfo().log("event=elected version=%d", version);
         listener.elected(version);
+        notes.start(version);
         reportFormerOwner();
         scheduleRenewal(LEASE_RENEWAL_INTERVAL);
     }
@@ -428,11 +455,7 @@
         String ownLeaseId = leaseId;
         leaseId = null;
         stepDown("handed over to " + successor.process());
-        KeyValueRequest write = new KeyValueRequest.Transaction(
-                List.of(new KeyValueRequest.Condition(CellKeys.OWNER, version)),
-                List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(successor), successorLeaseId)),
-                List.of());
+        KeyValueRequest write = writeOwner(version, successor, successorLeaseId);
         context.callStore(write, result -> {
             LOGGER.atInfo().log("event=handed_over to=%s result=%s", successor.process(), result);
             revoke(ownLeaseId);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ElectionListener.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ElectionListener.java
@@ -1,5 +1,7 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import java.time.Instant;
+
 /** Is notified of changes of the ownership of the cell, as an {@link Election} learns of them. */
 public interface ElectionListener {
 
@@ -17,6 +19,14 @@
      */
     void formerOwnerIdentified(FormerOwner formerOwner);
 
+    /**
+     * The last note of the last owner before this process is known.
+     *
+     * @param formerOwner the owner
+     * @param noteSeenAt when this process first saw the note
+     */
+    void formerNoteIdentified(FormerOwner formerOwner, Instant noteSeenAt);
+
     /**
      * This process no longer owns the cell.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwnerTracker.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerOwnerTracker.java
@@ -35,7 +35,20 @@
             ownVersion = readAhead ? 0 : entry.version();
             ownLists = completeLists;
         } else {
-            lastOther = new FormerOwner(owner, now);
+            lastOther = new FormerOwner(owner, entry.version(), now);
+            lastOtherLists = completeLists;
+        }
+    }
+
+    /**
+     * Records that the key still has a version after all keys have been read instead of their changes. If it is the last
+     * other owner's record, no owner was missed in between.
+     *
+     * @param presentVersion the version of the present record under the owner's key
+     * @param completeLists how often all keys have been read instead of their changes
+     */
+    void recordUnchanged(long presentVersion, int completeLists) {
+        if (lastOther != null && lastOther.version() == presentVersion) {
             lastOtherLists = completeLists;
         }
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.flamingopitch.scheduler.cell.disruption.EvacuationLimit;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.locality.PlacementWait;
@@ -76,6 +77,7 @@
             long fencingToken,
             JobTable jobs,
             LearnedStatistics statistics,
+            Supplier<Instant> leaseLimit,
             Consumer<WorkerState> newerFencingTokenHandler) {
         this.context = context;
         this.timings = timings;
@@ -83,7 +85,11 @@
         this.statistics = statistics;
         this.newerFencingTokenHandler = newerFencingTokenHandler;
         this.orderSender = new WorkerOrderSender(
-                context, fencingToken, EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()), this);
+                context,
+                fencingToken,
+                EvacuationLimit.startLease(timings.maxLease(), timings.evacuationLimit()),
+                leaseLimit,
+                this);
         DurationEstimates estimates = statistics.estimates();
         this.health = new WorkerHealth(context.gates());
         this.placementPolicy = new PlacementPolicy(health, statistics.interference(), context.gates());
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Supplier;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.OrderRejection;
@@ -30,12 +32,21 @@
     /** The lease that a start grants; a worker carries out no start after its end. */
     private final Duration startLease;
 
+    /** Returns until when leases may be granted. */
+    private final Supplier<Instant> leaseLimit;
+
     private final RunListener listener;
 
-    WorkerOrderSender(CellContext context, long fencingToken, Duration startLease, RunListener listener) {
+    WorkerOrderSender(
+            CellContext context,
+            long fencingToken,
+            Duration startLease,
+            Supplier<Instant> leaseLimit,
+            RunListener listener) {
         this.context = context;
         this.fencingToken = fencingToken;
         this.startLease = startLease;
+        this.leaseLimit = leaseLimit;
         this.listener = listener;
     }
 
@@ -113,7 +124,7 @@
         }
         OrderWithdrawal withdrawal = new OrderWithdrawal();
         run.markStartSent(withdrawal);
-        long leaseEnd = run.worker().grantLease(startLease, context.now());
+        long leaseEnd = run.worker().grantLease(startLease, leaseLimit.get(), context.now());
         WorkerOrder order = new WorkerOrder.Start(
                 run.task().ref(),
                 run.number(),
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -107,9 +107,9 @@
     /**
      * Calls the worker if a call is due.
      *
-     * @param mayExtend whether the call may extend the lease
+     * @param leaseLimit until when the call may extend the lease
      */
-    void pollIfDue(boolean mayExtend) {
+    void pollIfDue(Instant leaseLimit) {
         Instant now = context.now();
         if (callInFlight || !worker.registered() || now.isBefore(nextAt)) {
             return;
@@ -125,24 +125,25 @@
         if (!worker.allEndsDurable() && worker.hasReported() && !leaseNearExpiry) {
             return;
         }
-        send(active, mayExtend);
+        send(active, leaseLimit);
     }
 
-    private void send(boolean active, boolean mayExtend) {
+    private void send(boolean active, Instant leaseLimit) {
         Instant now = context.now();
         callInFlight = true;
         boolean longPoll = active && worker.allEndsDurable() && failures == 0 && worker.hasReported();
-        boolean extend = mayExtend
+        boolean extend = now.isBefore(leaseLimit)
                 && failures == 0
                 && worker.clockKnown()
                 && !worker.runs().isEmpty();
-        long leaseEnd = extend ? worker.grantLease(leaseDuration, now) : WorkerOrder.NO_LEASE;
+        long leaseEnd = extend ? worker.grantLease(leaseDuration, leaseLimit, now) : WorkerOrder.NO_LEASE;
         if (extend) {
             leaseSentAt = now;
         }
         long acknowledged = worker.lastDurableEnd();
+        boolean leaseShortened = now.plus(LEASE_RENEWAL_MARGIN).isAfter(leaseLimit);
         WorkerOrder order = new WorkerOrder.Hold(
-                leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout() : Duration.ZERO);
+                leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout(leaseShortened) : Duration.ZERO);
         long incarnation = worker.incarnation();
         WorkerTarget target = worker.target();
         context.callWorker(target, order, answer -> {
@@ -153,8 +154,14 @@
         });
     }
 
-    private Duration longPollTimeout() {
-        if (worker.needsFrequentPolling()) {
+    /**
+     * Returns how long the worker may delay its answer.
+     *
+     * @param leaseShortened whether the lease could be extended only for a short time or not at all; it is to be
+     *     extended as soon as the store confirms the ownership
+     */
+    private Duration longPollTimeout(boolean leaseShortened) {
+        if (leaseShortened || worker.needsFrequentPolling()) {
             return FREQUENT_POLL_TIMEOUT;
         }
         return worker.hasBestEffortTasks() ? BEST_EFFORT_POLL_TIMEOUT : LONG_POLL_TIMEOUT;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -171,14 +171,14 @@
     /**
      * Polls the workers that are due, ends runs whose lease has expired, and removes workers that are no longer listed.
      *
-     * @param mayExtend whether this process may extend leases
+     * @param leaseLimit until when this process may extend leases
      */
-    void tick(boolean mayExtend) {
+    void tick(Instant leaseLimit) {
         Instant now = context.now();
         for (WorkerState worker : new ArrayList<>(workers.values())) {
             WorkerPoller poller = pollers.get(worker.id());
             if (poller != null) {
-                poller.pollIfDue(mayExtend && !hasUnconfirmedStop(worker, now));
+                poller.pollIfDue(hasUnconfirmedStop(worker, now) ? Instant.MIN : leaseLimit);
             }
             endRunsIfLeaseExpired(worker, now);
             removeIfMissing(worker, now);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -238,12 +238,18 @@
     }
 
     /**
-     * Records that a lease of the given length from now is sent to the worker. The worker's clock is assumed to
-     * be as slow as permitted since its last report, so that an order that is executed late grants no longer lease.
+     * Records that a lease from now is sent to the worker. The worker's clock is assumed to be as slow as permitted since
+     * its last report, so that an order that is executed late grants no longer lease.
      *
+     * @param longest the longest lease
+     * @param limit the time at which the lease ends at the latest, if the worker's clock is right
      * @return the end of the lease in milliseconds on the worker's clock
      */
-    long grantLease(Duration length, Instant now) {
+    long grantLease(Duration longest, Instant limit, Instant now) {
+        Duration length = limit.isBefore(now) ? Duration.ZERO : Duration.between(now, limit);
+        if (length.compareTo(longest) > 0) {
+            length = longest;
+        }
         long elapsedMillis = Duration.between(clockAt, now).toMillis();
         long end = clockMillis + (long) (elapsedMillis * MIN_CLOCK_RATE) + length.toMillis();
         latestLeaseEnd = Math.max(latestLeaseEnd, end);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -123,12 +123,12 @@
         maxExtraLatencyMillis = (int) maxExtra.toMillis();
     }
 
-    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
     /** Sets the gates of the hosts that are added after this call. */
     void setGates(FeatureGates featureGates) {
         gates = featureGates;
     }
 
+    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
     void setFarFactor(double factor) {
         farFactor = factor;
     }
@@ -211,7 +211,12 @@
         host.suspended = true;
         advance(time);
         host.suspended = false;
-        host.suspendedFor = host.suspendedFor.plus(time);
+        host.clock.addSuspension(time);
+    }
+
+    /** Sets the speed of a host's monotonic clock; 1 is that of a clock that is right. */
+    void setClockRate(String host, double rate) {
+        hosts.get(host).clock.setRate(rate, now);
     }
 
     /**
@@ -252,11 +257,7 @@
         return store;
     }
 
-    /**
-     * Returns the moves of long-running tasks by all owners.
-     *
-     * @return the moves
-     */
+    /** Returns the moves of long-running tasks by all owners. */
     RecordedMetrics metrics() {
         return metrics;
     }
@@ -361,7 +362,7 @@
 
         private boolean suspended;
 
-        private Duration suspendedFor = Duration.ZERO;
+        private final HostClock clock = new HostClock();
 
         private Host(String name, double processors) {
             startedHosts++;
@@ -371,7 +372,7 @@
 
         @Override
         public Instant now() {
-            return now.minus(suspendedFor);
+            return clock.time(now);
         }
 
         @Override
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests when a successor treats tasks as ended whose workers it cannot reach. */
 final class FormerOwnerLeaseTest {
@@ -23,6 +24,12 @@
      */
     private static final Duration MAX_WAIT_AFTER_RESTART = Duration.ofSeconds(4 + 3);
 
+    /**
+     * The platform counts a long-running task as lost 9 s after its last run has ended, and the worker is lost 0.5 s
+     * before the owner.
+     */
+    private static final Duration MAX_WAIT_AFTER_LOSS_OF_HOST = Duration.ofMillis(8_500);
+
     private static final int SEEDS = 200;
 
     private static final List<String> HOSTS = List.of("h1", "h2");
@@ -62,6 +69,83 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 250, 500, 750, 1_000})
+    void taskOfAWorkerThatIsLostTogetherWithTheOwnersHostStartsElsewhereInTime(int extraMillis) {
+        start();
+        session.advance(Duration.ofMillis(extraMillis));
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        session.killHost(owner());
+        session.advance(MAX_WAIT_AFTER_LOSS_OF_HOST);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    @Test
+    void taskStartsElsewhereInTimeThoughTheStoreForgotItsHistoryBefore() {
+        start();
+        session.store().dropHistory();
+        session.store().setUnreadablePrefix("flamingopitch/owner/");
+        session.advance(Duration.ofMillis(600));
+        session.store().setUnreadablePrefix(null);
+        session.advance(Duration.ofSeconds(4));
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        session.killHost(owner());
+        session.advance(MAX_WAIT_AFTER_LOSS_OF_HOST);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 300, 600, 900, 1_200, 1_500})
+    void taskRunsOnThroughAnOutageOfTheStore(int extraMillis) {
+        start();
+        session.advance(Duration.ofMillis(extraMillis));
+        FakeWorker worker = session.worker(workerOfTask());
+        session.store().setUnavailable(true);
+        for (int millis = 0; millis < 5_000; millis += 5) {
+            session.advance(Duration.ofMillis(5));
+            assertThat(worker.running()).as("after %d ms", millis).hasSize(1);
+        }
+        session.store().setUnavailable(false);
+        for (int millis = 0; millis < 10_000; millis += 5) {
+            session.advance(Duration.ofMillis(5));
+            assertThat(worker.running()).as("%d ms after the outage", millis).hasSize(1);
+        }
+        assertThat(worker.started()).hasSize(1);
+    }
+
+    @Test
+    void taskNeverRunsTwiceIfClocksRunApartAndNotesAreExecutedLateOrNotAnswered() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            session = new CellSession(seed);
+            start();
+            SplittableRandom random = new SplittableRandom(seed);
+            session.worker("w1").setClockRate(random.nextBoolean() ? 0.98 : 1);
+            session.worker("w2").setClockRate(random.nextBoolean() ? 0.98 : 1);
+            HOSTS.forEach(host -> session.setClockRate(host, random.nextBoolean() ? 0.99 : 1.01));
+            disturbStore(random);
+            runPartition(random, "seed " + seed);
+        }
+    }
+
+    /** Lets the last calls to the store before a partition be executed late, go unanswered, or take long. */
+    private void disturbStore(SplittableRandom random) {
+        Duration time = Duration.ofMillis(random.nextInt(1_500));
+        int kind = random.nextInt(3);
+        if (kind == 0) {
+            session.varyStoreLatency(Duration.ofMillis(600));
+        } else if (kind == 1) {
+            session.store().setAnswersLost(true);
+            session.advance(time);
+            session.store().setAnswersLost(false);
+        } else {
+            session.setStoreConnectionsReset(true);
+            session.advance(time);
+            session.setStoreConnectionsReset(false);
+        }
+    }
+
     @Test
     void taskNeverRunsTwiceWhileItsFormerOwnerMayExtendTheLease() {
         for (long seed = 1; seed <= SEEDS; seed++) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CampaignDelayTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/CampaignDelayTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.flamingopitch.coordination.api.ProcessId;
 import org.junit.jupiter.api.Test;
 
@@ -16,8 +17,21 @@
     private static final long VACANT_VERSION = 17;
 
     private static Duration delay(double processors, Duration roundTrip) {
-        return new CampaignDelay(new OwnerRecord(new ProcessId("host"), "host:1", processors))
-                .of(roundTrip, VACANT_VERSION);
+        return delay(processors, roundTrip, Duration.ofMinutes(1));
+    }
+
+    private static Duration delay(double processors, Duration roundTrip, Duration running) {
+        Instant startedAt = OwnerFixtures.NOW;
+        return new CampaignDelay(new OwnerRecord(new ProcessId("host"), "host:1", processors), startedAt)
+                .of(roundTrip, VACANT_VERSION, startedAt.plus(running));
+    }
+
+    @Test
+    void hostThatHasJustStartedDoesNotWinBeforeHostsThatSawTheLastNoteOfTheFormerOwner() {
+        Duration running = Duration.ofMillis(1_200);
+        assertThat(delay(0.75, SAME_REGION, running))
+                .isGreaterThan(delay(0.75, SAME_REGION).plusMillis(200));
+        assertThat(delay(0.75, SAME_REGION, running)).isLessThan(Duration.ofMillis(700));
     }
 
     @Test
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -177,6 +177,128 @@
         assertThat(listener.formerOwner).isNull();
     }
 
+    @Test
+    void formerOwnerIsKnownThoughAllKeysWereReadAgainWhileItHeldTheKey() {
+        watch(entry(OTHER, 11));
+        store.fail(KeyValueRequest.Watch.class);
+        store.advance(Duration.ofSeconds(1));
+        store.answer(KeyValueRequest.ListPrefix.class, new KeyValueResult.Listed(List.of(entry(OTHER, 11)), 12, true));
+        watch(deletion(13));
+        becomeOwner(14);
+        watch(entry(SELF, 14));
+        assertThat(listener.formerOwner.owner()).isEqualTo(OTHER);
+    }
+
+    @Test
+    void formerOwnerIsUnknownIfItsKeyChangedWhileAllKeysWereReadAgain() {
+        watch(entry(OTHER, 11));
+        store.fail(KeyValueRequest.Watch.class);
+        store.advance(Duration.ofSeconds(1));
+        store.answer(KeyValueRequest.ListPrefix.class, new KeyValueResult.Listed(List.of(), 13, true));
+        becomeOwner(14);
+        watch(entry(SELF, 14));
+        assertThat(listener.formerOwner).isNull();
+    }
+
+    @Test
+    void leasesOfTheFormerOwnerAreCountedFromWhenItsLastNoteWasSeen() {
+        watch(entry(OTHER, 11));
+        watch(note(12));
+        Instant seenAt = store.now();
+        store.advance(Duration.ofSeconds(1));
+        watch(deletion(13));
+        becomeOwner(14);
+        watch(entry(SELF, 14));
+        assertThat(listener.formerNoteSeenAt).isNull();
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(note(12)));
+        assertThat(listener.formerNoteSeenAt).isEqualTo(seenAt);
+    }
+
+    @Test
+    void leasesOfTheFormerOwnerAreCountedFromTheElectionIfItsLastNoteWasNotSeenBefore() {
+        watch(entry(OTHER, 11));
+        watch(note(12));
+        store.advance(Duration.ofSeconds(1));
+        watch(deletion(14));
+        becomeOwner(15);
+        watch(entry(SELF, 15));
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(note(13)));
+        assertThat(listener.formerNoteSeenAt).isEqualTo(store.now());
+    }
+
+    @Test
+    void noteOfAnEarlierOwnerDoesNotBoundTheLeasesOfALaterOneThatWritesNone() {
+        watch(entry(OTHER, 11));
+        watch(note(12));
+        watch(deletion(13));
+        watch(entry(THIRD, 14));
+        watch(deletion(15));
+        becomeOwner(16);
+        watch(entry(SELF, 16));
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(note(12)));
+        assertThat(listener.formerOwner.owner()).isEqualTo(THIRD);
+        assertThat(listener.formerNoteSeenAt).isNull();
+    }
+
+    @Test
+    void noteDoesNotBoundTheLeasesOfAnOwnerThatMayHaveBeenMissed() {
+        watch(entry(OTHER, 11));
+        watch(note(12));
+        store.fail(KeyValueRequest.Watch.class);
+        store.advance(Duration.ofSeconds(1));
+        store.answer(KeyValueRequest.ListPrefix.class, new KeyValueResult.Listed(List.of(note(12)), 15, true));
+        becomeOwner(16);
+        watch(entry(SELF, 16));
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(note(12)));
+        assertThat(listener.formerNoteSeenAt).isNull();
+    }
+
+    @Test
+    void noteThatIsNotAnsweredAllowsNoExtensionOfLeases() {
+        becomeOwner(14);
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Missing());
+        store.fail(KeyValueRequest.Transaction.class);
+        assertThat(election.notedAt()).isEqualTo(Instant.MIN);
+        store.advance(Duration.ofSeconds(1));
+        Instant sentBefore = store.now();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(17));
+        assertThat(election.notedAt()).isAfter(Instant.MIN).isBefore(sentBefore);
+    }
+
+    @Test
+    void ownerWritesNoNoteBeforeItHasReadThatOfItsPredecessor() {
+        becomeOwner(14);
+        store.fail(KeyValueRequest.Get.class);
+        store.advance(Duration.ofSeconds(1));
+        assertThat(store.pending(KeyValueRequest.Transaction.class)).isEmpty();
+        assertThat(store.pending(KeyValueRequest.Get.class)).hasSize(1);
+    }
+
+    @Test
+    void noteSentBeforeASuspensionAllowsNoExtensionOfLeasesAfterIt() {
+        becomeOwner(14);
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Missing());
+        store.advance(Duration.ofMillis(100));
+        election.requireConfirmation();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(15));
+        assertThat(election.notedAt()).isEqualTo(Instant.MIN);
+    }
+
+    @Test
+    void noteIsWrittenOnlyWhileTheOwnersKeyIsUnchanged() {
+        becomeOwner(14);
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Missing());
+        assertThat(store.pending(KeyValueRequest.Transaction.class))
+                .singleElement()
+                .extracting(KeyValueRequest.Transaction::conditions)
+                .isEqualTo(List.of(new KeyValueRequest.Condition(CellKeys.OWNER, 14)));
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.ConditionFailed(List.of(entry(OTHER, 15))));
+        assertThat(election.owning()).isFalse();
+        store.advance(Duration.ofSeconds(3));
+        assertThat(election.notedAt()).isEqualTo(Instant.MIN);
+        assertThat(store.pending(KeyValueRequest.Transaction.class)).isEmpty();
+    }
+
     @Test
     void renewalSentBeforeASuspensionDoesNotConfirmTheOwnershipAfterIt() {
         grantLease();
@@ -214,6 +336,17 @@
         store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry), entry.version(), false));
     }
 
+    private void becomeOwner(long version) {
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        grantLease();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(version));
+        assertThat(election.owning()).isTrue();
+    }
+
+    private static KeyValueEntry note(long version) {
+        return new KeyValueEntry(CellKeys.OWNER_NOTE, "note", version);
+    }
+
     private static KeyValueEntry deletion(long version) {
         return new KeyValueEntry(CellKeys.OWNER, null, version);
     }
@@ -237,6 +370,8 @@
 
         private FormerOwner formerOwner;
 
+        private Instant formerNoteSeenAt;
+
         @Override
         public void elected(long version) {
             electedVersions++;
@@ -247,6 +382,11 @@
             formerOwner = owner;
         }
 
+        @Override
+        public void formerNoteIdentified(FormerOwner owner, Instant noteSeenAt) {
+            formerNoteSeenAt = noteSeenAt;
+        }
+
         @Override
         public void deposed(String cause) {}
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/FeatureGateDecisionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/FeatureGateDecisionTest.java
@@ -143,7 +143,11 @@
                 OwnerFixtures.job("heavy", OwnerFixtures.bestEffortStep("heavy", 1, 4_000, 1_000), OwnerFixtures.NOW);
         OwnerFixtures.run(OwnerFixtures.task(heavy), worker, 4_000);
         WorkerOrderSender sender = new WorkerOrderSender(
-                new RecordingContext(orders), 1, Duration.ofSeconds(6), new WorkerOrderSenderTest.RecordingListener());
+                new RecordingContext(orders),
+                1,
+                Duration.ofSeconds(6),
+                () -> Instant.MAX,
+                new WorkerOrderSenderTest.RecordingListener());
         new ThrottleController(sender, interference, run -> true, gates).adjustThrottling(worker, OwnerFixtures.NOW);
         return orders;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -33,7 +33,8 @@
 
     private final RecordingListener listener = new RecordingListener();
 
-    private final WorkerOrderSender sender = new WorkerOrderSender(context, 1, Duration.ofSeconds(6), listener);
+    private final WorkerOrderSender sender =
+            new WorkerOrderSender(context, 1, Duration.ofSeconds(6), () -> Instant.MAX, listener);
 
     private final WorkerState worker = OwnerFixtures.worker("w", 16_000);
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerStateTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerStateTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 /** Lease expiry, incarnations and acknowledged ends of a worker. */
@@ -15,7 +16,7 @@
     @Test
     void leaseExpiryAllowsForASlowWorkerClock() {
         worker.recordClock(10_000, OwnerFixtures.NOW);
-        long end = worker.grantLease(LEASE, OwnerFixtures.NOW);
+        long end = worker.grantLease(LEASE, Instant.MAX, OwnerFixtures.NOW);
         assertThat(end).isEqualTo(16_000);
         assertThat(worker.latestLeaseExpiry()).isAfter(OwnerFixtures.NOW.plusMillis(6_122));
     }
