Accept an own record only under the lease that will be renewed

Cause: Election.applyClaimRead and acceptHandover took any record of this process under the owner's key for the record of the present claim or handover. An earlier claim or handover that was carried out late, after its lease was to be revoked, has such a record. It ends with the earlier lease, while the renewals of the present lease go on to confirm the ownership, so that two owners could act. A record of an ended ownership that the watch showed late was taken for a handover in the same way.

Change: KeyValueEntry has the lease that the store reports for an item, and Election compares it with the lease of the present claim or handover. Any other record of this process is left to end with its lease, within 2 s as nothing renews it; then the key is vacant and is claimed as usual. Weighed: writing the record again under the present lease, on condition of the version found. It shortens the vacancy in this rare case by up to 2 s, but the usual handover would need the second write too, as the successor has no answer of its own write, and the second write may itself be lost, late, refused (412) or without a lease (404). By the protocol, each item of a read, a list, a watch event and a failed condition has its lease, and a version never changes its lease. The comparison needs no further call and no further state, so it was taken.

FakeStore reports leases like the store. ElectionLeaseTest is unchanged: its entries name no lease, so both tests check the refusal of a record under an unknown lease, and its method writtenUnder allows an additional write that this change does not make.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -241,7 +241,7 @@
             stepDown("another process holds the owner's key");
         }
         recordSighting(entry);
-        if (!owning() && handoverLeaseId != null && record.process().equals(self.process())) {
+        if (!owning() && isOwnRecordUnder(handoverLeaseId, entry)) {
             acceptHandover(entry.version());
         }
         listener.ownerChanged();
@@ -326,18 +326,32 @@
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
     }
 
-    /** Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. */
+    /**
+     * Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. A record of an
+     * earlier claim, carried out late, ends with its lease, and the key is claimed again then.
+     */
     private void applyClaimRead(KeyValueResult read, Instant sentAt) {
-        if (read instanceof KeyValueResult.Found found) {
-            OwnerRecord record = JsonCodec.compact().decode(found.entry().value(), OwnerRecord.class);
-            if (record.process().equals(self.process())) {
-                becomeOwner(found.entry().version(), sentAt);
-                return;
-            }
-            observe(found.entry());
+        if (read instanceof KeyValueResult.Found found && isOwnRecordUnder(leaseId, found.entry())) {
+            becomeOwner(found.entry().version(), sentAt);
+            return;
         }
         revokeLease();
         retryCampaign("the store did not confirm the claim");
+        if (read instanceof KeyValueResult.Found found) {
+            observe(found.entry());
+        }
+    }
+
+    /**
+     * Returns whether an entry is a record of this process that lasts as long as a lease. Renewals of the lease confirm
+     * nothing about a record under another one, such as the lease of an earlier attempt that was carried out late.
+     */
+    private boolean isOwnRecordUnder(String lease, KeyValueEntry entry) {
+        if (entry.leaseId() == null || !entry.leaseId().equals(lease)) {
+            return false;
+        }
+        OwnerRecord record = JsonCodec.compact().decode(entry.value(), OwnerRecord.class);
+        return record.process().equals(self.process());
     }
 
     private void revokeLease() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -340,7 +340,7 @@
         }
         revision++;
         for (KeyValueRequest.Write write : transaction.writes()) {
-            KeyValueEntry entry = new KeyValueEntry(write.key(), write.value(), revision);
+            KeyValueEntry entry = new KeyValueEntry(write.key(), write.value(), revision, write.leaseId());
             entries.put(write.key(), entry);
             history.add(entry);
             writtenBytes.merge(write.key(), (long) write.value().getBytes(StandardCharsets.UTF_8).length, Long::sum);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionTest.java
@@ -128,7 +128,7 @@
         store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.ConditionFailed(List.of(entry(OTHER, 11))));
         election.prepareHandover(lease -> assertThat(lease).contains("offered"));
         store.answer(KeyValueRequest.GrantLease.class, new KeyValueResult.Leased("offered"));
-        store.answer(KeyValueRequest.Watch.class, new KeyValueResult.Listed(List.of(entry(SELF, 14)), 14, false));
+        watch(new KeyValueEntry(CellKeys.OWNER, JsonCodec.compact().encode(SELF), 14, "offered"));
         assertThat(election.owning()).isTrue();
         assertThat(election.confirmedAt()).isEqualTo(Instant.MIN);
         store.answer(KeyValueRequest.RenewLease.class, new KeyValueResult.Leased("offered"));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ScriptedStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ScriptedStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.flamingopitch.coordination.api.Failure;
 import org.flamingopitch.coordination.api.LoopContext;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
@@ -20,6 +21,8 @@
 
     private final List<Call> calls = new ArrayList<>();
 
+    private final List<KeyValueRequest> sent = new ArrayList<>();
+
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
     @Override
@@ -35,6 +38,7 @@
     @Override
     public void callStore(KeyValueRequest request, Consumer<KeyValueResult> handler) {
         calls.add(new Call(request, handler));
+        sent.add(request);
     }
 
     /** Advances the clock and runs the timers that become due. */
@@ -48,11 +52,16 @@
 
     /** Returns the unanswered calls of a type. */
     <T extends KeyValueRequest> List<T> pending(Class<T> type) {
-        return calls.stream()
-                .map(Call::request)
-                .filter(type::isInstance)
-                .map(type::cast)
-                .toList();
+        return ofType(calls.stream().map(Call::request), type);
+    }
+
+    /** Returns all calls of a type, whether they were answered or not. */
+    <T extends KeyValueRequest> List<T> sent(Class<T> type) {
+        return ofType(sent.stream(), type);
+    }
+
+    private static <T extends KeyValueRequest> List<T> ofType(Stream<KeyValueRequest> requests, Class<T> type) {
+        return requests.filter(type::isInstance).map(type::cast).toList();
     }
 
     /** Answers the oldest unanswered call of a type. */
