Keep the lease of a claim apart from the lease of the ownership

Cause: Election had one field for the lease of a claim under way and for that of the ownership. A process may accept a handover while its claim is unanswered. The claim's answer then revoked the lease of the handover (claim refused, or settled by a read) or replaced it (lease granted late), so that the process renewed a lease that its record did not hang on, or none. A claim that was carried out in the meantime elected the process a second time without ending the first ownership.

Change: A claim carries its own lease (OwnershipClaim) until it makes this process the owner, and its answer revokes only that lease. becomeOwner ends an ownership that is still held.

Conclusion: the answer of an earlier attempt no longer changes the lease of a later one.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -49,6 +49,10 @@
     /** Version of the owner's key that this process wrote, 0 while it is not the owner. */
     private long ownedVersion;
 
+    /**
+     * The lease under which this process's record hangs, null while it is not the owner. A claim under way has its own,
+     * as this process may accept a handover before the claim is answered.
+     */
     private String leaseId;
 
     /** A lease under which the present owner may write this process's record; null if no handover is under way. */
@@ -297,45 +301,46 @@
             return;
         }
         roundTrip = Duration.between(sentAt, context.now());
-        leaseId = leased.leaseId();
         if (retired || !vacant()) {
-            abandonCampaign(retired ? "the process is stopping" : "another process was elected");
+            abandonCampaign(leased.leaseId(), retired ? "the process is stopping" : "another process was elected");
             return;
         }
-        Instant claimedAt = context.now();
+        OwnershipClaim claim = new OwnershipClaim(leased.leaseId(), context.now());
         long replacedVersion = owner.isPresent() ? ownerVersion : KeyValueRequest.ABSENT;
-        KeyValueRequest claim = new KeyValueRequest.Transaction(
+        KeyValueRequest write = new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(self), leaseId)),
+                        CellKeys.OWNER, JsonCodec.compact().encode(self), claim.leaseId())),
                 List.of());
-        context.callStore(claim, outcome -> applyClaimResult(outcome, claimedAt));
+        context.callStore(write, outcome -> applyClaimResult(outcome, claim));
     }
 
-    private void applyClaimResult(KeyValueResult result, Instant sentAt) {
+    private void applyClaimResult(KeyValueResult result, OwnershipClaim claim) {
         if (result instanceof KeyValueResult.Written written) {
-            becomeOwner(written.version(), sentAt);
+            campaignRunning = false;
+            becomeOwner(written.version(), claim);
             return;
         }
         if (result instanceof KeyValueResult.ConditionFailed conflict) {
             campaignRunning = false;
-            revokeLease();
+            revoke(claim.leaseId());
             conflict.actual().forEach(this::observe);
             return;
         }
-        context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, sentAt));
+        context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, claim));
     }
 
     /**
      * Determines the outcome of a claim whose answer was lost, from what is now under the owner's key. A record of an
      * earlier claim, carried out late, ends with its lease, and the key is claimed again then.
      */
-    private void applyClaimRead(KeyValueResult read, Instant sentAt) {
-        if (read instanceof KeyValueResult.Found found && isOwnRecordUnder(leaseId, found.entry())) {
-            becomeOwner(found.entry().version(), sentAt);
+    private void applyClaimRead(KeyValueResult read, OwnershipClaim claim) {
+        if (read instanceof KeyValueResult.Found found && isOwnRecordUnder(claim.leaseId(), found.entry())) {
+            campaignRunning = false;
+            becomeOwner(found.entry().version(), claim);
             return;
         }
-        revokeLease();
+        revoke(claim.leaseId());
         retryCampaign("the store did not confirm the claim");
         if (read instanceof KeyValueResult.Found found) {
             observe(found.entry());
@@ -374,23 +379,25 @@
         context.schedule(RETRY_DELAY, this::campaignIfVacant);
     }
 
-    private void abandonCampaign(String detail) {
+    private void abandonCampaign(String claimLeaseId, String detail) {
         campaignRunning = false;
         LOGGER.atInfo().log("event=campaign_abandoned detail=\"%s\"", detail);
-        revokeLease();
+        revoke(claimLeaseId);
     }
 
-    private void becomeOwner(long version, Instant sentAt) {
+    private void becomeOwner(long version, OwnershipClaim claim) {
         if (retired || version < ownerVersion) {
-            abandonCampaign(retired ? "the process is stopping" : "the key has changed since");
+            abandonCampaign(claim.leaseId(), retired ? "the process is stopping" : "the key has changed since");
             return;
         }
-        campaignRunning = false;
+        // A claim may be carried out late, after a handover was accepted and its lease has ended.
+        stepDown("a later claim of this process was carried out");
+        leaseId = claim.leaseId();
         failedCampaigns = 0;
         ownedVersion = version;
         ownerVersion = Math.max(ownerVersion, version);
         owner = Optional.of(self);
-        recordConfirmation(sentAt);
+        recordConfirmation(claim.sentAt());
         LOGGER.atInfo().log("event=elected version=%d", version);
         listener.elected(version);
         reportFormerOwner();
@@ -455,9 +462,9 @@
 
     /** Becomes the owner by the former owner's write; the renewal confirms that the lease has not ended since. */
     private void acceptHandover(long version) {
-        leaseId = handoverLeaseId;
+        OwnershipClaim claim = new OwnershipClaim(handoverLeaseId, Instant.MIN);
         handoverLeaseId = null;
-        becomeOwner(version, Instant.MIN);
+        becomeOwner(version, claim);
         if (owning()) {
             renew();
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
@@ -147,6 +147,62 @@
         expectNoOwnership();
     }
 
+    /** Otherwise the new owner would give up the cell that it was handed a moment ago. */
+    @Test
+    void refusedClaimDoesNotRevokeTheLeaseOfAHandoverThatWasAcceptedMeanwhile() {
+        acceptHandoverDuringAClaim();
+        store.answer(
+                KeyValueRequest.Transaction.class,
+                new KeyValueResult.ConditionFailed(List.of(entry(SELF, 14, "offered"))));
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("claim"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    @Test
+    void claimWithoutAnAnswerDoesNotRevokeTheLeaseOfAHandoverThatWasAcceptedMeanwhile() {
+        acceptHandoverDuringAClaim();
+        store.fail(KeyValueRequest.Transaction.class);
+        found(entry(SELF, 14, "offered"));
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("claim"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    /** The owner would renew a lease that its record does not hang on. */
+    @Test
+    void leaseOfAnAbandonedClaimDoesNotReplaceTheLeaseOfAHandover() {
+        loseElectionTo(OTHER, 11);
+        prepareHandover("offered");
+        watch(deletion(12));
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        watch(entry(OTHER, 13, "theirs"));
+        watch(entry(SELF, 14, "offered"));
+        grantLease("late");
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("late"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    /** The cell's state in memory belongs to one election, and so does the version by which commits are fenced. */
+    @Test
+    void claimThatIsCarriedOutDuringAnOwnershipEndsThatOwnershipFirst() {
+        acceptHandoverDuringAClaim();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(20));
+        assertThat(listener.depositions).isEqualTo(1);
+        assertThat(listener.electedVersions).containsExactly(14L, 20L);
+        assertThat(election.owning()).isTrue();
+        assertThat(election.ownerVersion()).isEqualTo(20);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("offered"));
+        store.answer(KeyValueRequest.RenewLease.class, new KeyValueResult.LeaseEnded());
+        assertThat(election.owning()).isTrue();
+        expectRenewalsOnlyOf("claim");
+    }
+
     /** Each call to the store is charged. */
     @Test
     void electionWhoseAnswersArriveMakesTwoCalls() {
@@ -184,6 +240,22 @@
         assertThat(listener.electedVersions).containsExactly(version);
     }
 
+    private void expectRenewalsOnlyOf(String lease) {
+        int renewalsBefore = store.pending(KeyValueRequest.RenewLease.class).size();
+        store.advance(RENEWAL_INTERVAL);
+        assertThat(store.pending(KeyValueRequest.RenewLease.class))
+                .hasSize(renewalsBefore + 1)
+                .containsOnly(new KeyValueRequest.RenewLease(lease));
+    }
+
+    private void acceptHandoverDuringAClaim() {
+        grantLease("claim");
+        watch(entry(OTHER, 11, "theirs"));
+        prepareHandover("offered");
+        watch(entry(SELF, 14, "offered"));
+        expectOwnerAt(14);
+    }
+
     private void expectNoOwnership() {
         assertThat(election.owning()).isFalse();
     }
