Begin each ownership without a confirmation

Cause: Election kept the time of the last confirmation when an ownership ended. A process that was the owner shortly before and is handed the cell again took that confirmation for one of its new ownership, and could act before the renewal showed that the new lease still holds.

Change: stepDown discards the confirmation.

Result: ElectionOwnRecordTest.confirmationOfAnEndedOwnershipDoesNotConfirmALaterOne failed before and passes. The classes of org.flamingopitch.scheduler.cell (without its subpackages) and Election*Test pass on this code.

Conclusion: closed; a claim still counts as confirmed from the time it was sent, which its answer, or the read of its record under its lease, proves.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -136,7 +136,7 @@
     }
 
     /**
-     * Returns when the store last confirmed the ownership.
+     * Returns when the store last confirmed the present ownership.
      *
      * @return when the call was sent that the store confirmed, {@link Instant#MIN} for none
      */
@@ -191,6 +191,7 @@
             owner = Optional.empty();
         }
         ownedVersion = 0;
+        confirmedAt = Instant.MIN;
         formerOwnerTracker.reset();
         revokeLease();
         listener.deposed(cause);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.flamingopitch.coordination.api.JsonCodec;
@@ -203,6 +204,23 @@
         expectRenewalsOnlyOf("claim");
     }
 
+    /** An owner that counts the confirmations of its former ownership acts before it knows that its new lease holds. */
+    @Test
+    void confirmationOfAnEndedOwnershipDoesNotConfirmALaterOne() {
+        grantLease("first");
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(12));
+        watch(entry(SELF, 12, "first"));
+        assertThat(election.confirmedAt()).isAfter(Instant.MIN);
+        watch(entry(OTHER, 13, "theirs"));
+        assertThat(listener.depositions).isEqualTo(1);
+        prepareHandover("offered");
+        watch(entry(SELF, 14, "offered"));
+        assertThat(election.owning()).isTrue();
+        assertThat(election.confirmedAt()).isEqualTo(Instant.MIN);
+        store.answer(KeyValueRequest.RenewLease.class, new KeyValueResult.Leased("offered"));
+        assertThat(election.confirmedAt()).isAfter(Instant.MIN);
+    }
+
     /** Each call to the store is charged. */
     @Test
     void electionWhoseAnswersArriveMakesTwoCalls() {
