--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionOwnRecordTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.flamingopitch.coordination.api.JsonCodec;
@@ -147,6 +148,79 @@
         expectNoOwnership();
     }
 
+    /** Otherwise the new owner would give up the cell that it was handed a moment ago. */
+    @Test
+    void refusedClaimDoesNotRevokeTheLeaseOfAHandoverThatWasAcceptedMeanwhile() {
+        acceptHandoverDuringAClaim();
+        store.answer(
+                KeyValueRequest.Transaction.class,
+                new KeyValueResult.ConditionFailed(List.of(entry(SELF, 14, "offered"))));
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("claim"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    @Test
+    void claimWithoutAnAnswerDoesNotRevokeTheLeaseOfAHandoverThatWasAcceptedMeanwhile() {
+        acceptHandoverDuringAClaim();
+        store.fail(KeyValueRequest.Transaction.class);
+        found(entry(SELF, 14, "offered"));
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("claim"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    /** The owner would renew a lease that its record does not hang on. */
+    @Test
+    void leaseOfAnAbandonedClaimDoesNotReplaceTheLeaseOfAHandover() {
+        loseElectionTo(OTHER, 11);
+        prepareHandover("offered");
+        watch(deletion(12));
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        watch(entry(OTHER, 13, "theirs"));
+        watch(entry(SELF, 14, "offered"));
+        grantLease("late");
+        expectOwnerAt(14);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("late"));
+        expectRenewalsOnlyOf("offered");
+    }
+
+    /** The cell's state in memory belongs to one election, and so does the version by which commits are fenced. */
+    @Test
+    void claimThatIsCarriedOutDuringAnOwnershipEndsThatOwnershipFirst() {
+        acceptHandoverDuringAClaim();
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(20));
+        assertThat(listener.depositions).isEqualTo(1);
+        assertThat(listener.electedVersions).containsExactly(14L, 20L);
+        assertThat(election.owning()).isTrue();
+        assertThat(election.ownerVersion()).isEqualTo(20);
+        assertThat(store.pending(KeyValueRequest.RevokeLease.class))
+                .containsExactly(new KeyValueRequest.RevokeLease("offered"));
+        store.answer(KeyValueRequest.RenewLease.class, new KeyValueResult.LeaseEnded());
+        assertThat(election.owning()).isTrue();
+        expectRenewalsOnlyOf("claim");
+    }
+
+    /** An owner that counts the confirmations of its former ownership acts before it knows that its new lease holds. */
+    @Test
+    void confirmationOfAnEndedOwnershipDoesNotConfirmALaterOne() {
+        grantLease("first");
+        store.answer(KeyValueRequest.Transaction.class, new KeyValueResult.Written(12));
+        watch(entry(SELF, 12, "first"));
+        assertThat(election.confirmedAt()).isAfter(Instant.MIN);
+        watch(entry(OTHER, 13, "theirs"));
+        assertThat(listener.depositions).isEqualTo(1);
+        prepareHandover("offered");
+        watch(entry(SELF, 14, "offered"));
+        assertThat(election.owning()).isTrue();
+        assertThat(election.confirmedAt()).isEqualTo(Instant.MIN);
+        store.answer(KeyValueRequest.RenewLease.class, new KeyValueResult.Leased("offered"));
+        assertThat(election.confirmedAt()).isAfter(Instant.MIN);
+    }
+
     /** Each call to the store is charged. */
     @Test
     void electionWhoseAnswersArriveMakesTwoCalls() {
@@ -184,6 +258,22 @@
         assertThat(listener.electedVersions).containsExactly(version);
     }
 
+    private void expectRenewalsOnlyOf(String lease) {
+        int renewalsBefore = store.pending(KeyValueRequest.RenewLease.class).size();
+        store.advance(RENEWAL_INTERVAL);
+        assertThat(store.pending(KeyValueRequest.RenewLease.class))
+                .hasSize(renewalsBefore + 1)
+                .containsOnly(new KeyValueRequest.RenewLease(lease));
+    }
+
+    private void acceptHandoverDuringAClaim() {
+        grantLease("claim");
+        watch(entry(OTHER, 11, "theirs"));
+        prepareHandover("offered");
+        watch(entry(SELF, 14, "offered"));
+        expectOwnerAt(14);
+    }
+
     private void expectNoOwnership() {
         assertThat(election.owning()).isFalse();
     }
