Start another task of a job whose open runs are not at work

Cause: StarvedTaskPlanner passed over a job with any open run. A run that is unreported after a takeover, on a silent worker, or being stopped there, kept the other tasks of its job waiting until the run was released: 10.4 s after the election if the former owner is not known.

Change: the planner passes over a job only while one of its runs is at work, was so within the last 2 s, or was started by the planner itself. The last condition keeps it to one additional task a job if workers are lost one after the other. The task with the open run still waits for its release. A lost run no longer makes a job wait 2 s again after each slow task. The planner learns which workers answer.

Result: before, with the tests and the constructor only, five tests fail: StarvedBestEffortTaskTest.otherTasksDoNotWaitForTheRunOnALostWorkerAfterATakeover ("Expected size: 1 but was: 0 in: []") and in StarvedTaskPlannerTest jobWhoseOnlyOpenRunIsOnASilentWorkerIsSelected, -IsUnreportedIsSelected, -IsBeingStoppedForLongIsSelected and jobWithALostRunDoesNotWaitAgainAfterEachSlowTask ("Expecting actual: [] to contain exactly ..."). After it, StarvedTaskPlannerTest (21), StarvedBestEffortTaskTest (8), IdleJobSessionTest (3), IdleJobLogSessionTest (2) and IdleJobLoggerTest (21) pass.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 
@@ -37,16 +39,23 @@
 
     private final PlacementPolicy placementPolicy;
 
+    /** Returns whether the last call to a worker was answered. */
+    private final Predicate<WorkerState> answering;
+
     /** The start of this ownership; when runs of a former owner ended is not known. */
     private final Instant observedSince;
 
     /** The jobs whose last task was started by this planner; they do not wait again for the next one. */
     private final Set<JobId> servedJobs = new HashSet<>();
 
+    /** The last run that was started for each job by this planner, while it is open. */
+    private final Map<JobId, Run> openStarts = new HashMap<>();
+
     private Instant plannedAt = Instant.MIN;
 
-    StarvedTaskPlanner(PlacementPolicy placementPolicy, Instant observedSince) {
+    StarvedTaskPlanner(PlacementPolicy placementPolicy, Predicate<WorkerState> answering, Instant observedSince) {
         this.placementPolicy = placementPolicy;
+        this.answering = answering;
         this.observedSince = observedSince;
     }
 
@@ -62,13 +71,14 @@
         List<Task> selected = new ArrayList<>();
         Map<ServiceName, Boolean> loadedServices = new HashMap<>();
         Set<JobId> stillServed = new HashSet<>();
+        openStarts.values().removeIf(run -> !run.task().hasRun(run));
         for (Job job : openJobs) {
-            boolean served = servedJobs.contains(job.id()) && !hasUsualRun(job);
+            boolean served = servedJobs.contains(job.id()) && !hasUsualRun(job, now);
             if (served) {
                 stillServed.add(job.id());
             }
             boolean loaded = loadedServices.computeIfAbsent(job.queue().service(), service -> loaded(service, pass));
-            if (!loaded && !job.hasOpenRun() && (served || idleForLong(job, timeOfDayMillis, now))) {
+            if (!loaded && mayStart(job, now) && (served || idleForLong(job, timeOfDayMillis, now))) {
                 selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
         }
@@ -79,15 +89,41 @@
     /** Takes note that a selected task was started. */
     void onStarted(Task task) {
         servedJobs.add(task.job().id());
+        if (task.run() != null) {
+            openStarts.put(task.job().id(), task.run());
+        }
+    }
+
+    /**
+     * Returns whether a task of the job may be started although others have open runs: none of these is at work, and none
+     * was started by this planner, so that a job gets one such task at a time even if its workers are lost one after the
+     * other.
+     */
+    boolean mayStart(Job job, Instant now) {
+        return !openStarts.containsKey(job.id()) && openRuns(job).noneMatch(run -> atWorkOrSoon(run, now));
+    }
+
+    /** Returns whether a run of the job was placed as usual and is at work, so that the job is no longer starved. */
+    private boolean hasUsualRun(Job job, Instant now) {
+        return openRuns(job).anyMatch(run -> !run.slowStart() && atWorkOrSoon(run, now));
     }
 
-    /** Returns whether a run of the job was placed as usual, so that the job is no longer starved. */
-    private static boolean hasUsualRun(Job job) {
+    private static Stream<Run> openRuns(Job job) {
         return job.occurrences().stream()
                 .flatMap(List::stream)
                 .flatMap(step -> step.tasks().stream())
-                .flatMap(task -> task.runs().stream())
-                .anyMatch(run -> !run.slowStart());
+                .flatMap(task -> task.runs().stream());
+    }
+
+    /** Returns whether a run is at work, or has not been for a time in which a report of it may still be missing. */
+    private boolean atWorkOrSoon(Run run, Instant now) {
+        IdleJob.Inactivity inactivity = IdleJob.Inactivity.of(run, answering);
+        if (inactivity == null || inactivity == IdleJob.Inactivity.PLANNED) {
+            return true;
+        }
+        Instant since = inactivity.since(run);
+        Instant inactiveSince = since.isAfter(run.phaseSince()) ? since : run.phaseSince();
+        return now.isBefore(inactiveSince.plus(IdleJob.NOTICEABLE_TIME));
     }
 
     /** Returns the worker on which a task can run in spite of an obstacle and does least harm, or null if there is none. */
@@ -122,7 +158,7 @@
     }
 
     private boolean idleForLong(Job job, long timeOfDayMillis, Instant now) {
-        IdleJob idle = IdleJob.of(job, worker -> true, observedSince, timeOfDayMillis, now);
+        IdleJob idle = IdleJob.of(job, answering, observedSince, timeOfDayMillis, now);
         return idle != null && idle.noticeable();
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -98,7 +98,7 @@
         this.rackWaits = rackWaits;
         this.copyPlanner = copyPlanner;
         this.isolationPlanner = new IsolationPlanner(placementPolicy);
-        this.starvedTaskPlanner = new StarvedTaskPlanner(placementPolicy, context.now());
+        this.starvedTaskPlanner = new StarvedTaskPlanner(placementPolicy, this::answering, context.now());
         this.preemptionPlanner = new PreemptionPlanner(orderSender, placementPolicy);
     }
 
@@ -287,7 +287,7 @@
         PlacementPass lastResort =
                 placementPolicy.startPass(workerRegistry.workers(), worker -> workerRegistry.usable(worker, now), now);
         for (Task task : starved) {
-            if (!task.job().hasOpenRun()) {
+            if (starvedTaskPlanner.mayStart(task.job(), now)) {
                 placeStarved(task, lastResort, now);
             }
         }
@@ -347,6 +347,10 @@
         return quarantined ? PlacementObstacle.QUARANTINED : obstacle;
     }
 
+    private boolean answering(WorkerState worker) {
+        return workerRegistry.answering(worker);
+    }
+
     private boolean usable(WorkerState worker, Instant now) {
         return obstacle(worker, now) == PlacementObstacle.NONE;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -151,6 +151,35 @@
         }
     }
 
+    /** The open run of one task hid the others until a successor took it for gone, 10 s after its election. */
+    @Test
+    void otherTasksDoNotWaitForTheRunOnALostWorkerAfterATakeover() {
+        startLatencyCriticalTasks(5_000);
+        StepSpec step = new StepSpecBuilder()
+                .count(3)
+                .demand(new Resources(3_000, 100, 0))
+                .image("heavy")
+                .fills(true)
+                .maxPerWorker(1)
+                .build();
+        session.call("h1", new CallerOperation.Submit(new JobSpec("work", List.of(step), 0, 0, 0)), "/q/" + HEAVY_JOB);
+        session.advance(Duration.ofSeconds(3));
+        TaskRef lost = session.running(HEAVY_JOB).get(0);
+        loseWorker(workerOf(lost));
+        session.killHost("h1");
+        session.store().endLeases();
+        session.addHost("h2");
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(lost);
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(lost);
+    }
+
+    private static void loseWorker(FakeWorker worker) {
+        worker.crash();
+        worker.setListed(false);
+    }
+
     /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
     @Test
     void taskWaitsWhileMostCapacityIsReserved() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -20,10 +20,14 @@
 
     private final PlacementPolicy placementPolicy = new PlacementPolicy(health, new InterferenceEstimator());
 
-    private final StarvedTaskPlanner planner = new StarvedTaskPlanner(placementPolicy, Instant.MIN);
-
     private final WorkerState worker = OwnerFixtures.worker("w", 16_000);
 
+    /** A worker whose last call was not answered. */
+    private final WorkerState silent = OwnerFixtures.worker("silent", 16_000);
+
+    private final StarvedTaskPlanner planner =
+            new StarvedTaskPlanner(placementPolicy, each -> each != silent, Instant.MIN);
+
     private Job job(Duration age) {
         return OwnerFixtures.job("j", OwnerFixtures.bestEffortStep("i", 2, 1_000, 1_000), now.minus(age));
     }
@@ -67,6 +71,86 @@
         assertThat(select(job)).isEmpty();
     }
 
+    /** A run on a lost worker hid the other tasks of its job for as long as it counted as open. */
+    @Test
+    void jobWhoseOnlyOpenRunIsOnASilentWorkerIsSelected() {
+        Job job = job(LONG);
+        Task lost = OwnerFixtures.task(job);
+        OwnerFixtures.run(lost, silent, 1);
+        assertThat(selectAt(LONG, job)).containsExactly(other(job));
+    }
+
+    /** As above, for a run of a former owner that no report has shown; its own task must not start a second time. */
+    @Test
+    void jobWhoseOnlyOpenRunIsUnreportedIsSelected() {
+        Job job = job(LONG);
+        OwnerFixtures.task(job).restoreRun(silent, 1, now);
+        assertThat(selectAt(LONG, job)).containsExactly(other(job));
+    }
+
+    /** As above, for a run that is being stopped on a worker that does not answer. */
+    @Test
+    void jobWhoseOnlyOpenRunIsBeingStoppedForLongIsSelected() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), silent, 1).enterPhase(RunPhase.STOPPING, now);
+        assertThat(selectAt(LONG, job)).containsExactly(other(job));
+    }
+
+    /** A start is reported a moment after it was sent; until then the job is about to be at work. */
+    @Test
+    void jobWhoseTaskHasJustBeenStartedWaits() {
+        Job job = job(Duration.ofSeconds(10));
+        Run run = OwnerFixtures.task(job).place(worker, now);
+        assertThat(select(job)).isEmpty();
+        run.enterPhase(RunPhase.SENT, now);
+        assertThat(selectAt(Duration.ofSeconds(1), job)).isEmpty();
+        run.enterPhase(RunPhase.STOPPING, now.plusSeconds(1));
+        assertThat(selectAt(Duration.ofMillis(2_500), job)).isEmpty();
+    }
+
+    @Test
+    void jobWithATaskOnAWorkerThatHasJustBecomeSilentWaits() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), silent, 1);
+        assertThat(selectAt(Duration.ofMillis(1_900), job)).isEmpty();
+    }
+
+    /** Slow tasks would multiply if each of them on a lost worker let the next one start. */
+    @Test
+    void jobWhoseLastSelectedTaskIsOnASilentWorkerWaits() {
+        Job job = OwnerFixtures.job("j", OwnerFixtures.bestEffortStep("i", 4, 1_000, 1_000), now.minus(LONG));
+        Run run = OwnerFixtures.run(OwnerFixtures.task(job), silent, 1);
+        run.markSlowStart();
+        planner.onStarted(run.task());
+        assertThat(selectAt(LONG, job)).isEmpty();
+        assertThat(selectAt(LONG.multipliedBy(2), job)).isEmpty();
+        run.release(now.plus(LONG.multipliedBy(2)));
+        assertThat(selectAt(LONG.multipliedBy(3), job)).hasSize(1);
+    }
+
+    /** The lost run made each slow task of the job wait again for the next one. */
+    @Test
+    void jobWithALostRunDoesNotWaitAgainAfterEachSlowTask() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), silent, 1);
+        Run slow = OwnerFixtures.run(other(job), worker, 1);
+        slow.markSlowStart();
+        planner.onStarted(slow.task());
+        assertThat(selectAt(LONG, job)).isEmpty();
+        slow.release(now.plus(LONG));
+        assertThat(selectAt(LONG.plusMillis(300), job)).containsExactly(other(job));
+    }
+
+    private static Task other(Job job) {
+        return job.step(0, 0).tasks().get(1);
+    }
+
+    private List<Task> selectAt(Duration later, Job job) {
+        Instant time = now.plus(later);
+        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, time);
+        return planner.selectTasks(List.of(job), pass, time.toEpochMilli(), time);
+    }
+
     @Test
     void jobWhoseLastTaskHasJustEndedWaits() {
         Job job = job(LONG);
@@ -91,7 +175,7 @@
     /** A new owner has no measurements at first, and all waiting jobs would be started at once. */
     @Test
     void jobOfAFormerOwnerWaitsAfterTheElection() {
-        StarvedTaskPlanner successor = new StarvedTaskPlanner(placementPolicy, now.minusSeconds(1));
+        StarvedTaskPlanner successor = new StarvedTaskPlanner(placementPolicy, each -> true, now.minusSeconds(1));
         PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, now);
         assertThat(successor.selectTasks(List.of(job(LONG)), pass, now.toEpochMilli(), now))
                 .isEmpty();
