Count the idle time of a job from when its last run was known to be at work

Cause: the release of a run began the idle time of its job anew, also if the run had not been at work for seconds: on a lost worker until its lease expires, or on one that refuses the start.

Change: a run that is released without a reported end (run_gone, start_refused, start_dropped) counts as at work until its last report, or until the takeover if a former owner recorded it and no report has shown it since; a start that had no effect does not count. A reported end counts as before. The waiting time in the other log lines is unchanged.

Result: before, with releaseWithoutEnd as an alias of release, three tests fail: StarvedBestEffortTaskTest taskOfALostWorkerIsStartedAsSoonAsASuccessorReleasesItsRun ("Expected size: 1 but was: 0 in: []") and StarvedTaskPlannerTest jobIsSelectedAtOnceAfterALostRunIsReleased and startThatIsRefusedDoesNotEndTheIdleTime ("Expecting actual: [] to contain exactly ...").

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJob.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJob.java
@@ -38,7 +38,7 @@
                 boolean ready = !step.done() && step.ready(timeOfDayMillis);
                 for (Task task : step.tasks()) {
                     // The end of a task that is done may have made the step of another one ready.
-                    since = later(since, task.waitingSince());
+                    since = later(since, task.lastAtWorkAt());
                     if (task.done()) {
                         continue;
                     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -163,10 +163,20 @@
         workerIncarnation = incarnation;
     }
 
-    /** Releases the resources reserved on the worker and removes this run from its task. */
+    /** Releases the resources reserved on the worker and removes this run, which has just ended, from its task. */
     void release(Instant now) {
         worker.remove(this, now);
-        task.remove(this, now);
+        task.remove(this, now, now);
+    }
+
+    /**
+     * Releases a run whose end no report has shown: its worker is lost or refused it. Its task counts as at work only until
+     * the last report.
+     */
+    void releaseWithoutEnd(Instant now) {
+        Instant atWorkUntil = IdleJob.Inactivity.of(this, each -> false).since(this);
+        worker.remove(this, now);
+        task.remove(this, now, atWorkUntil);
     }
 
     RunPhase phase() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -319,7 +319,7 @@
     private void reschedule(Run run, Duration delay) {
         Task task = run.task();
         Run copy = task.copy();
-        run.release(context.now());
+        run.releaseWithoutEnd(context.now());
         if (copy != null && task.job().open() && !task.done()) {
             copyPlanner.recordEnd(task, run, copy);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -55,6 +55,9 @@
 
     private Instant waitingSince;
 
+    /** When an ended run was last known to be at work; the submission of the job if none was. */
+    private Instant lastAtWorkAt;
+
     /** When the task was first left waiting for its rack; null if it never was. */
     private Instant rackWaitSince;
 
@@ -65,6 +68,7 @@
         this.step = step;
         this.ref = ref;
         this.waitingSince = step.job().submittedAt();
+        this.lastAtWorkAt = waitingSince;
     }
 
     Step step() {
@@ -197,9 +201,14 @@
         return run;
     }
 
-    /** Removes an ended run; another one goes on as the only run of the task. */
-    void remove(Run run, Instant now) {
+    /**
+     * Removes an ended run; another one goes on as the only run of the task.
+     *
+     * @param atWorkUntil the last time at which the run is known to have been at work
+     */
+    void remove(Run run, Instant now, Instant atWorkUntil) {
         runs.remove(run);
+        lastAtWorkAt = atWorkUntil.isAfter(lastAtWorkAt) ? atWorkUntil : lastAtWorkAt;
         if (runs.isEmpty()) {
             waitingSince = now;
         }
@@ -210,6 +219,11 @@
         return waitingSince;
     }
 
+    /** Returns when an ended run was last known to be at work; the submission of the job if none was. */
+    Instant lastAtWorkAt() {
+        return lastAtWorkAt;
+    }
+
     /** Returns when the task was first left waiting for its rack, or null if it never was. */
     Instant rackWaitSince() {
         return rackWaitSince;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -367,7 +367,7 @@
             if (run == task.copy()) {
                 copyPlanner.recordOutcome(CopyOutcome.ENDED);
             }
-            run.release(context.now());
+            run.releaseWithoutEnd(context.now());
             passRequested = true;
             return;
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -175,6 +175,30 @@
         assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(lost);
     }
 
+    /** The idle time was counted from the release of the lost run, after the job had done nothing for 10 s. */
+    @Test
+    void taskOfALostWorkerIsStartedAsSoonAsASuccessorReleasesItsRun() {
+        startLatencyCriticalTasks(5_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(3));
+        loseWorker(workerOf(session.running(HEAVY_JOB).get(0)));
+        session.killHost("h1");
+        session.store().endLeases();
+        try (RecordedLog log = new RecordedLog("org.flamingopitch.scheduler.cell.owner.RunManager")) {
+            session.addHost("h2");
+            for (int i = 0; i < 150 && !containsRelease(log); i++) {
+                session.advance(Duration.ofMillis(100));
+            }
+            assertThat(containsRelease(log)).isTrue();
+        }
+        session.advance(Duration.ofMillis(800));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1);
+    }
+
+    private static boolean containsRelease(RecordedLog log) {
+        return log.lines().stream().anyMatch(line -> line.contains("run_gone task=" + HEAVY_JOB));
+    }
+
     private static void loseWorker(FakeWorker worker) {
         worker.crash();
         worker.setListed(false);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -141,6 +141,32 @@
         assertThat(selectAt(LONG.plusMillis(300), job)).containsExactly(other(job));
     }
 
+    /** The time for which a job had nothing at work on a lost worker did not count, and it waited 2 s more. */
+    @Test
+    void jobIsSelectedAtOnceAfterALostRunIsReleased() {
+        Job job = OwnerFixtures.job("j", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000), now.minus(LONG));
+        Run run = OwnerFixtures.run(OwnerFixtures.task(job), silent, 1);
+        run.releaseWithoutEnd(now.plus(LONG));
+        assertThat(selectAt(LONG, job)).containsExactly(run.task());
+    }
+
+    @Test
+    void jobWaitsAfterARunThatWasReportedAMomentBeforeItsRelease() {
+        Job job = job(LONG);
+        OwnerFixtures.run(OwnerFixtures.task(job), silent, 1).releaseWithoutEnd(now.plusSeconds(1));
+        assertThat(selectAt(Duration.ofMillis(1_900), job)).isEmpty();
+    }
+
+    /** Each refused start began the idle time of its job anew. */
+    @Test
+    void startThatIsRefusedDoesNotEndTheIdleTime() {
+        Job job = job(LONG);
+        Run run = OwnerFixtures.task(job).place(worker, now);
+        run.enterPhase(RunPhase.SENT, now);
+        run.releaseWithoutEnd(now);
+        assertThat(selectAt(Duration.ofMillis(100), job)).containsExactly(run.task());
+    }
+
     private static Task other(Job job) {
         return job.step(0, 0).tasks().get(1);
     }
