Draw sessions that lose hosts and workers together, and commit failing seeds

Change: DrawnSession.withClosing adds a last disruption from a random source of its own: all hosts lose power for 1 to 4 s, and up to three groups of workers are lost, silent, reborn or reclaimed at that moment or in the second before. The sessions of existing seeds play the same. The property idleJob.closingSeeds selects its seeds; 50025, 50059 and 50060 are committed and hold.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DrawnSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DrawnSession.java
@@ -59,6 +59,9 @@
 
     private final double loadSwing;
 
+    /** Decides the closing; null if the session has none. Apart from {@link #random}, so that the seeds keep their meaning. */
+    private final SplittableRandom closing;
+
     private Duration now = Duration.ZERO;
 
     private int addedWorkers;
@@ -80,6 +83,11 @@
     }
 
     DrawnSession(long seed) {
+        this(seed, null);
+    }
+
+    private DrawnSession(long seed, SplittableRandom closing) {
+        this.closing = closing;
         random = new SplittableRandom(seed);
         session = new CellSession(seed);
         plan = new DrawnPlan(random);
@@ -88,6 +96,14 @@
         jobs = plan.jobs();
     }
 
+    /**
+     * Creates a session whose last disruption is a closing: all hosts lose power for 1 to 4 s, and up to three groups of
+     * workers are lost, silent, reborn or reclaimed at the same moment or in the second before.
+     */
+    static DrawnSession withClosing(long seed) {
+        return new DrawnSession(seed, new SplittableRandom(~seed));
+    }
+
     /** Plays the session and returns the check that judged its quiet phase. */
     IdleJobCheck play() {
         session.store().setLeasesExpire(true);
@@ -241,7 +257,41 @@
             disrupt(Disruption.ALL_HOSTS_KILLED, last, last + 2_000);
             last += 2_000;
         }
-        return Duration.ofMillis(last);
+        return Duration.ofMillis(closing == null ? last : scheduleClosing(last));
+    }
+
+    /** Schedules the closing after the other disruptions and returns its end. */
+    private long scheduleClosing(long last) {
+        long start = last + 1_000 + closing.nextInt(1_000);
+        long end = start + 1_000 + closing.nextInt(3_001);
+        int groups = 1 + closing.nextInt(3);
+        for (int i = 0; i < groups; i++) {
+            long earlier = start - (closing.nextInt(3) == 0 ? 0 : closing.nextInt(1_000));
+            switch (closing.nextInt(4)) {
+                case 0 -> disrupt(Disruption.WORKERS_LOST, earlier, earlier);
+                case 1 -> disrupt(Disruption.WORKERS_CRASH, earlier, earlier);
+                case 2 -> disrupt(Disruption.WORKERS_SILENT, earlier, start + closing.nextLong(end - start));
+                default -> reclaimWorkers(earlier, start + closing.nextInt(500));
+            }
+        }
+        disrupt(Disruption.ALL_HOSTS_KILLED, start, end);
+        return end;
+    }
+
+    /** Announces the end of some workers, which then are lost for good. */
+    private void reclaimWorkers(long announced, long lost) {
+        List<FakeWorker> chosen = new ArrayList<>();
+        atMillis(announced, () -> {
+            chosen.addAll(drawnWorkers(3));
+            chosen.forEach(worker -> worker.setDraining(true));
+        });
+        atMillis(lost, () -> chosen.forEach(this::loseForGood));
+    }
+
+    private void loseForGood(FakeWorker worker) {
+        lostForGood.add(worker);
+        worker.crash();
+        worker.setListed(false);
     }
 
     private void disrupt(Disruption kind, long start, long end) {
@@ -267,14 +317,7 @@
                 atMillis(end, () -> session.store().setUnavailable(false));
             }
             case WORKERS_CRASH -> atMillis(end, () -> drawnWorkers(2).forEach(FakeWorker::crash));
-            case WORKERS_LOST ->
-                atMillis(
-                        end,
-                        () -> drawnWorkers(3).forEach(worker -> {
-                            lostForGood.add(worker);
-                            worker.crash();
-                            worker.setListed(false);
-                        }));
+            case WORKERS_LOST -> atMillis(end, () -> drawnWorkers(3).forEach(this::loseForGood));
             case WORKERS_SILENT -> overWorkers(start, end, FakeWorker::setUnresponsive);
             case STARTS_LOST -> overWorkers(start, end, FakeWorker::setStartsLost);
             case LATE_ORDERS -> overWorkers(start, end, (worker, on) -> worker.setStartDelayMillis(on ? 1_500 : 0));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
@@ -8,22 +8,56 @@
 
 /**
  * Plays sessions with drawn jobs and disruptions, in which best-effort tasks interfere with latency-critical ones. The
- * property {@code idleJob.seeds} selects other seeds, such as {@code 0-999}.
+ * properties {@code idleJob.seeds} and {@code idleJob.closingSeeds} select other seeds, such as {@code 0-999}.
  */
 final class IdleJobSessionTest {
 
     private static final String SEEDS_PROPERTY = "idleJob.seeds";
 
+    private static final String CLOSING_SEEDS_PROPERTY = "idleJob.closingSeeds";
+
+    /** In these, many jobs lose their tasks in the closing, and each has one at work again in time. */
+    private static final long[] CLOSING_SEEDS = {50025, 50059, 50060};
+
+    /**
+     * In these, the successor after the closing takes runs on lost workers for open until 10.4 s after its election, of
+     * long-running and best-effort tasks (50037, 50078), and of short ones too (50098).
+     */
+    private static final long[] LOST_WORKER_CLOSING_SEEDS = {50037, 50078, 50098};
+
     /**
      * In these, jobs waited for workers that each ran a throttled best-effort task or whose processor time was demanded
      * (21, 74), and in a cell in which many workers were unusable (33). In 21, a step without capacity hid another one.
      */
     private static final long[] SEEDS = {21, 33, 74};
 
+    /**
+     * In these, workers are lost or silent when or shortly before the only process that knows them ends, and a successor
+     * takes their runs for open until 10.4 s after its election: a long-running task on 1 of 6 workers and two best-effort
+     * ones (20030), short tasks that are not best-effort (20117), best-effort tasks in a cell with 4 % reserved (20345).
+     */
+    private static final long[] LOST_WORKER_SEEDS = {20030, 20117, 20345};
+
     static LongStream seeds() {
-        String range = System.getProperty(SEEDS_PROPERTY);
+        return seeds(SEEDS_PROPERTY, SEEDS);
+    }
+
+    static LongStream lostWorkerSeeds() {
+        return LongStream.of(LOST_WORKER_SEEDS);
+    }
+
+    static LongStream lostWorkerClosingSeeds() {
+        return LongStream.of(LOST_WORKER_CLOSING_SEEDS);
+    }
+
+    static LongStream closingSeeds() {
+        return seeds(CLOSING_SEEDS_PROPERTY, CLOSING_SEEDS);
+    }
+
+    private static LongStream seeds(String property, long... committed) {
+        String range = System.getProperty(property);
         if (range == null) {
-            return LongStream.of(SEEDS);
+            return LongStream.of(committed);
         }
         String[] bounds = range.split("-");
         return LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[1]));
@@ -32,13 +66,37 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void noJobIsIdleWhileTwoWorkersHaveCapacityForItInACellWithLittleLoad(long seed) {
-        IdleJobCheck check = new DrawnSession(seed).play();
+        IdleJobCheck check = play(new DrawnSession(seed), seed);
+        if (System.getProperty(SEEDS_PROPERTY) == null) {
+            assertThat(check.judgedIdleTime()).isPositive();
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("lostWorkerSeeds")
+    void noJobIsIdleWhileASuccessorTakesRunsOnLostWorkersForOpen(long seed) {
+        assertThat(new DrawnSession(seed).play().violations()).isEmpty();
+    }
+
+    /** Sessions that end like a day whose closing takes hosts and workers together, which others do seldom. */
+    @ParameterizedTest
+    @MethodSource("closingSeeds")
+    void noJobIsIdleAfterAClosingThatTakesHostsAndWorkers(long seed) {
+        play(DrawnSession.withClosing(seed), seed);
+    }
+
+    @ParameterizedTest
+    @MethodSource("lostWorkerClosingSeeds")
+    void noJobIsIdleAfterAClosingWhoseLostRunsASuccessorTakesForOpen(long seed) {
+        assertThat(DrawnSession.withClosing(seed).play().violations()).isEmpty();
+    }
+
+    private static IdleJobCheck play(DrawnSession session, long seed) {
+        IdleJobCheck check = session.play();
         System.out.printf(
                 "seed %d: judged %d ms of idle time%n",
                 seed, check.judgedIdleTime().toMillis());
         assertThat(check.violations()).isEmpty();
-        if (System.getProperty(SEEDS_PROPERTY) == null) {
-            assertThat(check.judgedIdleTime()).isPositive();
-        }
+        return check;
     }
 }
