Judge the load of a service also without the workers that do not answer

Cause: StarvedTaskPlanner took a service for loaded if half of the processor time was reserved of the usable workers and of all registered ones. The platform's rule says "under half of the service's capacity is in use"; it sees the workers that run. A draining worker runs and is not usable; the runs on a lost one stay reserved until they are released. With an empty draining worker and a full lost one, both shares are high while that of the running workers is low.

Change: a service is loaded only if the share is high also of the workers that answer, draining and evacuated ones among them. This makes it count as loaded less often, never more often.

Result: before, StarvedTaskPlannerTest jobIsSelectedIfOnlyALostWorkerMakesTheServiceLookLoaded fails ("Expected size: 1 but was: 0"; shares 0.56 of the usable, 0.52 of all, 0.28 of the answering workers). After it StarvedTaskPlannerTest (25), StarvedBestEffortTaskTest (9), IdleJobLogSessionTest (2) and IdleJobLoggerTest (21) pass.

What base the platform itself uses is not known; a service counts now as loaded only if it is by each of the three.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -178,13 +178,15 @@
     }
 
     /**
-     * Returns whether the reserved share is high both of the usable workers and of all workers of the service. A part of
-     * the workers that cannot be used for a moment does not make the service loaded.
+     * Returns whether the reserved share is high of the usable workers, of those that answer and of all workers of the
+     * service. The platform counts the workers that run, and neither a part of them that cannot be used for a moment nor
+     * the runs on lost workers, which stay reserved until they are released, make the service loaded.
      */
-    private static boolean loaded(ServiceName service, PlacementPass pass) {
+    private boolean loaded(ServiceName service, PlacementPass pass) {
         List<WorkerState> usable =
                 pass.candidates().stream().map(PlacementCandidate::worker).toList();
-        return loaded(service, usable) && loaded(service, pass.workers());
+        List<WorkerState> running = pass.workers().stream().filter(answering).toList();
+        return loaded(service, usable) && loaded(service, running) && loaded(service, pass.workers());
     }
 
     private static boolean loaded(ServiceName service, Collection<WorkerState> workers) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -238,6 +238,21 @@
                 .hasSize(1);
     }
 
+    /**
+     * The reserved share was taken of the usable workers and of all, but neither of the workers that run: without the
+     * lost ones, whose runs stay reserved for up to a lease, and with the draining ones.
+     */
+    @Test
+    void jobIsSelectedIfOnlyALostWorkerMakesTheServiceLookLoaded() {
+        reserve(9_000);
+        Job lost = OwnerFixtures.job("lost", OwnerFixtures.latencyCriticalStep("s", 16_000, 10), now);
+        OwnerFixtures.run(OwnerFixtures.task(lost), silent, 5);
+        WorkerState draining = OwnerFixtures.worker("draining", 16_000);
+        PlacementPass pass = placementPolicy.startPass(List.of(worker, silent, draining), each -> each == worker, now);
+        assertThat(planner.selectTasks(List.of(job(LONG)), pass, now.toEpochMilli(), now))
+                .hasSize(1);
+    }
+
     @Test
     void workerWithAnotherSlowTaskIsChosenIfThereIsNoOther() {
         OwnerFixtures.run(OwnerFixtures.task(job(LONG)), worker, 1).markSlowStart();
