End a reservation for a long-running task if its stops stay unanswered

Cause: a worker stayed reserved for a long-running task for 3.5 s, also after the stops that were to make room there had been unanswered for 1 s, when the task would not fit any more. With two workers reserved for two such tasks, a short job that fits on both waited 3.3 s; the platform takes it for lost after 3 s.

Change: PreemptionPlanner ends the reservation (event=room_given_up) when the task would not fit even after all stops, at most 2.5 s after its beginning, and asks to be called again when the stops are due.

Result: ReservedWorkerTest, two workers of 16 cores with 8.5 free. Stops that are answered: the job waits 1.36 s before and after. Stops that are lost: 3.32 s before ("Expecting actual: 3.32S to be less than: 3S"), 2.32 s after. After it ReservedWorkerTest (2), WaitingLongRunningTaskTest (10), EvacuationTest (24), DisruptionBudgetSessionTest (9) and WithheldLeaseTest (2) pass.

The targets of RunMover (3.5 s) and the workers of IsolationPlanner (6 s) are not settled by this.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
@@ -26,7 +26,7 @@
      */
     private static final Duration PREEMPTION_DELAY = Duration.ofMillis(1_500);
 
-    /** How long a worker stays reserved; a stop takes less than a second. */
+    /** How long a worker stays reserved at most; a stop takes less than a second. */
     private static final Duration RESERVATION_DURATION = Duration.ofMillis(3_500);
 
     /** A worker that leaves a stop unanswered for this time may keep the run until its lease expires. */
@@ -50,8 +50,7 @@
             Task task, Collection<WorkerState> workers, Predicate<WorkerState> usable, Instant now) {
         for (WorkerState worker : workers) {
             if (worker.reservedFor(now) == task) {
-                preemptIfDelayOver(task, worker, now);
-                return Optional.empty();
+                return preemptIfDelayOver(task, worker, now);
             }
         }
         WorkerState bestWorker = null;
@@ -77,14 +76,25 @@
         return Optional.of(PREEMPTION_DELAY);
     }
 
-    private void preemptIfDelayOver(Task task, WorkerState worker, Instant now) {
+    /**
+     * Stops runs if the delay is over. Ends the reservation if the task would not fit even then, as when stops stay
+     * unanswered: it would keep other tasks off the worker, up to the 3 s after which the platform takes an idle job for
+     * lost, for nothing.
+     */
+    private Optional<Duration> preemptIfDelayOver(Task task, WorkerState worker, Instant now) {
         Instant reservedSince = worker.reservedUntil().minus(RESERVATION_DURATION);
         List<Run> victims = selectVictims(task, worker, now);
-        if (victims != null && !victims.isEmpty() && !now.isBefore(reservedSince.plus(PREEMPTION_DELAY))) {
-            LOGGER.atInfo().log(
-                    "event=room_made task=%s worker=%s stopped=%d", task.ref(), worker.id(), victims.size());
-            victims.forEach(orderSender::stop);
+        if (victims == null) {
+            LOGGER.atInfo().log("event=room_given_up task=%s worker=%s", task.ref(), worker.id());
+            worker.endReservation();
+            return Optional.empty();
+        }
+        if (victims.isEmpty() || now.isBefore(reservedSince.plus(PREEMPTION_DELAY))) {
+            return Optional.empty();
         }
+        LOGGER.atInfo().log("event=room_made task=%s worker=%s stopped=%d", task.ref(), worker.id(), victims.size());
+        victims.forEach(orderSender::stop);
+        return Optional.of(STOP_ANSWER_TIMEOUT);
     }
 
     /** Returns the runs to stop so that the task fits, or null if it does not fit even then. */
