--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -151,6 +151,59 @@
         }
     }
 
+    /** The open run of one task hid the others until a successor took it for gone, 10 s after its election. */
+    @Test
+    void otherTasksDoNotWaitForTheRunOnALostWorkerAfterATakeover() {
+        startLatencyCriticalTasks(5_000);
+        StepSpec step = new StepSpecBuilder()
+                .count(3)
+                .demand(new Resources(3_000, 100, 0))
+                .image("heavy")
+                .fills(true)
+                .maxPerWorker(1)
+                .build();
+        session.call("h1", new CallerOperation.Submit(new JobSpec("work", List.of(step), 0, 0, 0)), "/q/" + HEAVY_JOB);
+        session.advance(Duration.ofSeconds(3));
+        TaskRef lost = session.running(HEAVY_JOB).get(0);
+        loseWorker(workerOf(lost));
+        session.killHost("h1");
+        session.store().endLeases();
+        session.addHost("h2");
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(lost);
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1).doesNotContain(lost);
+    }
+
+    /** The idle time was counted from the release of the lost run, after the job had done nothing for 10 s. */
+    @Test
+    void taskOfALostWorkerIsStartedAsSoonAsASuccessorReleasesItsRun() {
+        startLatencyCriticalTasks(5_000);
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(3));
+        loseWorker(workerOf(session.running(HEAVY_JOB).get(0)));
+        session.killHost("h1");
+        session.store().endLeases();
+        try (RecordedLog log = new RecordedLog("org.flamingopitch.scheduler.cell.owner.RunManager")) {
+            session.addHost("h2");
+            for (int i = 0; i < 150 && !containsRelease(log); i++) {
+                session.advance(Duration.ofMillis(100));
+            }
+            assertThat(containsRelease(log)).isTrue();
+        }
+        session.advance(Duration.ofMillis(800));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1);
+    }
+
+    private static boolean containsRelease(RecordedLog log) {
+        return log.lines().stream().anyMatch(line -> line.contains("run_gone task=" + HEAVY_JOB));
+    }
+
+    private static void loseWorker(FakeWorker worker) {
+        worker.crash();
+        worker.setListed(false);
+    }
+
     /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
     @Test
     void taskWaitsWhileMostCapacityIsReserved() {
