Let a job go on while its last slow task is on a worker that is lost

Cause: the planner of idle jobs passed over a job while a run that it had started itself was open, also on a worker that does not answer. Change: such a run counts only while its worker answers, which covers a paused one. One on a silent worker is treated as any other run that is not at work. Result: StarvedTaskPlannerTest.jobWhoseLastSelectedTaskIsOnASilentWorkerIsSelected fails before ('Expecting actual: []') and passes. It replaces jobWhoseLastSelectedTaskIsOnASilentWorkerWaits, which asked for the wait that LOST forbids; its other half, that slow tasks do not multiply, is now jobWhoseLastSelectedTaskIsPausedWaits. Starved*Test pass. Conclusion: at most one more slow task starts for each worker that is lost under the last one.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -96,11 +96,13 @@
 
     /**
      * Returns whether a task of the job may be started although others have open runs: none of these is at work, and none
-     * was started by this planner, so that a job gets one such task at a time even if its workers are lost one after the
-     * other.
+     * that this planner started is on a worker that answers, so that a job gets one such task at a time also while it is
+     * paused.
      */
     boolean mayStart(Job job, Instant now) {
-        return !openStarts.containsKey(job.id()) && openRuns(job).noneMatch(run -> atWorkOrSoon(run, now));
+        Run openStart = openStarts.get(job.id());
+        boolean startPending = openStart != null && answering.test(openStart.worker());
+        return !startPending && openRuns(job).noneMatch(run -> atWorkOrSoon(run, now));
     }
 
     /** Returns whether a run of the job was placed as usual and is at work, so that the job is no longer starved. */
