Keep the reservation for a task in isolation after its job has expired

Cause: A reservation has no effect once its job is more than three times its objective late. A task that may be started only in isolation then never got a worker without new tasks: each pass reserved one and logged event=isolated again, while unproven runs kept being added on every worker. Change: The reservation for a task that needs isolation stays in effect until its time is over; those of other kinds end with the expiry as before. Conclusion: Isolation does not depend on the age of the job. The task could start before only on a worker without unproven runs, such as one that has just come back from a crash and permits it.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -380,13 +380,16 @@
         return free;
     }
 
-    /** Returns the task that the worker's free capacity is reserved for, or null. */
+    /**
+     * Returns the task that the worker's free capacity is reserved for, or null. The reservation for a job that has
+     * expired ends, unless the task may be started only in isolation: new tasks would keep it from starting for good.
+     */
     Task reservedFor(Instant now) {
         boolean needed = reservationTask != null
                 && reservationTask.awaitsPlacement()
                 && !reservationTask.done()
                 && reservationTask.job().open()
-                && !reservationTask.job().expired(now);
+                && (reservationTask.needsIsolation() || !reservationTask.job().expired(now));
         return needed && now.isBefore(reservedUntil) ? reservationTask : null;
     }
 
