Do not close a worker for long-running tasks again because of early trials

Cause: Short tasks of idle jobs are started as a last resort on workers that are in quarantine for all tasks. Each one that failed closed its worker to long-running tasks for 3 s more. The next ones start 2 s after the failure, so that jobs that fail everywhere kept long-running tasks out for as long as they had attempts. Change: A failed run closes its worker for long-running tasks only if it was placed after the worker was last closed for them. The quarantine for short tasks grows as before, and lost starts and stalls close a worker as before. Result: lastResortTasksThatFailDoNotKeepALongRunningTaskWaiting (two workers in quarantine, six faulty jobs) and earlyTrialThatFailsDoesNotCloseTheWorkerForLongRunningTasksAgain failed before and pass now; in the first one the long-running task had not started after 9 s. Conclusion: Jobs that fail everywhere no longer keep a worker closed. A faulty worker may get a long-running task earlier than before, while its short runs from before the quarantine still fail; it stays the last resort.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerHealth.java
@@ -13,7 +13,8 @@
 
 /**
  * Tracks failures and run times of the workers; quarantines workers that fail or stall, and finds slow ones. A short run
- * that was placed during a quarantine is a trial: its success ends the quarantine, its failure begins another one.
+ * that was placed during a quarantine is a trial: its success ends the quarantine, its failure begins another one. A
+ * failure closes the worker for long-running tasks only if the run was placed after it was last closed for them.
  */
 final class WorkerHealth {
 
@@ -71,7 +72,12 @@
         if (!trialFailed && history.failedJobs.size() < FAILED_JOBS_TO_QUARANTINE) {
             return false;
         }
+        Instant closedUntil = history.quarantinedForAllUntil;
         quarantine(worker, now);
+        if (placedAt.isBefore(closedUntil)) {
+            // Faulty tasks that are started as a last resort would else keep it closed for good.
+            history.quarantinedForAllUntil = closedUntil;
+        }
         return true;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WaitingLongRunningTaskTest.java
@@ -3,12 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.QueueName;
+import org.flamingopitch.scheduler.cell.model.QueueSpec;
+import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
+import org.flamingopitch.scheduler.cell.model.TaskRef;
+import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +29,16 @@
     /** After a disruption the platform counts only from this time on. */
     private static final Duration CALM_AFTER_DISRUPTION = Duration.ofSeconds(4);
 
+    /** The platform counts a long-running task from 6 s after its last run. */
+    private static final Duration MAX_WAIT_AFTER_LAST_RUN =
+            Duration.ofSeconds(6).plus(MAX_WAIT);
+
+    private static final int FAULTY_JOBS = 6;
+
+    private static final Duration FAILURE_TIME = Duration.ofMillis(600);
+
+    private static final Duration STEP = Duration.ofMillis(20);
+
     private static final String JOB_ID = "00000000000000cc";
 
     private static final String OTHER_JOB_ID = "00000000000000bb";
@@ -202,6 +220,55 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    /**
+     * Each worker is in quarantine because of jobs that fail everywhere. Short tasks are started there as a last resort;
+     * each one that failed closed the worker to long-running tasks for another 3 s.
+     */
+    @Test
+    void lastResortTasksThatFailDoNotKeepALongRunningTaskWaiting() {
+        session.configure(new CellConfiguration(2, List.of(queueWithManyAttempts()), 100_000));
+        for (int i = 0; i < FAULTY_JOBS; i++) {
+            submit("00000000000000f" + i, new JobSpec("work", List.of(thirdOfAWorker()), 0, 0, 0));
+        }
+        advanceWithFailures(Duration.ofSeconds(1));
+        submit(JOB_ID, CellSession.job(1, 1_000, true));
+        session.advance(Duration.ofMillis(100));
+        assertThat(session.running(JOB_ID)).as("both workers are in quarantine").isEmpty();
+        advanceWithFailures(MAX_WAIT_AFTER_LAST_RUN);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    /** Lets all tasks of the faulty jobs fail 600 ms after their start. */
+    private void advanceWithFailures(Duration time) {
+        Map<TaskRef, Duration> runningFor = new HashMap<>();
+        for (Duration left = time; left.compareTo(Duration.ZERO) > 0; left = left.minus(STEP)) {
+            session.advance(STEP);
+            for (String name : List.of("w1", "w2")) {
+                FakeWorker worker = session.worker(name);
+                for (TaskRef task : worker.running()) {
+                    boolean faulty = task.job().value().startsWith("00000000000000f");
+                    if (faulty && runningFor.merge(task, STEP, Duration::plus).compareTo(FAILURE_TIME) >= 0) {
+                        runningFor.remove(task);
+                        worker.end(task, EndKind.FAILED);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Creates a step of one task, of which memory for three is on each worker. */
+    private static StepSpec thirdOfAWorker() {
+        return new StepSpecBuilder()
+                .demand(new Resources(500, 33_000, 0))
+                .estimateMillis(1_000)
+                .build();
+    }
+
+    private static QueueSpec queueWithManyAttempts() {
+        return new QueueSpec(
+                new QueueName("q"), "callers.example", "/q/", new ServiceName("pool"), 0, 20, 2, 1_000, 3_000, false);
+    }
+
     private static StepSpec limitedStep(int count, long milliCores) {
         StepSpec plain = SampleSteps.step(count, milliCores, true, List.of());
         return new StepSpecBuilder()
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerHealthTest.java
@@ -77,6 +77,21 @@
         assertThat(health.quarantinedForAll(WORKER, after(7))).isTrue();
     }
 
+    /** Faulty jobs that are started as a last resort would keep long-running tasks off the worker for good. */
+    @Test
+    void earlyTrialThatFailsDoesNotCloseTheWorkerForLongRunningTasksAgain() {
+        growQuarantine();
+        Instant failedAt = after(3).minusMillis(100);
+        assertThat(health.recordFailure(WORKER, new JobId("00000000000000a0"), after(2), failedAt))
+                .isTrue();
+        for (int i = 1; i <= 4; i++) {
+            health.recordFailure(WORKER, new JobId("00000000000000a" + i), after(2), failedAt);
+        }
+        assertThat(health.quarantinedForAll(WORKER, after(3).minusMillis(50))).isTrue();
+        assertThat(health.quarantinedForAll(WORKER, after(3))).isFalse();
+        assertThat(health.quarantined(WORKER, after(14))).isTrue();
+    }
+
     /** Quarantines the worker for 12 s. */
     private void growQuarantine() {
         health.quarantine(WORKER, START);
