Set the speed of best-effort runs after a takeover

Cause: Reports do not show the speed of a run, and a restored run was taken for unthrottled. If the successor saw no reason to throttle it, it sent no order, so that a run at 25 % stayed there, and one at 0 % made no progress, was stopped as stalled, and its worker was quarantined. Change: The throttle level of a restored best-effort run is unknown, as after an order that was not confirmed. The first report of the run then makes the controller send the level that it computes, once. Other runs get no order. Conclusion: A takeover costs one order for each best-effort run. Until that order the estimates take the run for paused, which is on the safe side for latency-critical tasks.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -24,6 +24,9 @@
      */
     private static final double UNDER_TARGET_HEADROOM = 1.25;
 
+    /** Throttle level of a run that a former owner may have throttled. */
+    private static final int UNKNOWN_PERCENT = -1;
+
     private final Task task;
 
     private final WorkerState worker;
@@ -376,11 +379,19 @@
         }
     }
 
-    /** Returns the share in percent that the run may use of its demand; negative if the last throttle order failed. */
+    /**
+     * Returns the share in percent that the run may use of its demand; negative if it is unknown, since the last throttle
+     * order failed or a former owner may have throttled the run.
+     */
     int throttledToPercent() {
         return throttledToPercent;
     }
 
+    /** Marks the throttle level as unknown: reports do not show it, and a former owner may have changed it. */
+    void markThrottleLevelUnknown() {
+        throttledToPercent = UNKNOWN_PERCENT;
+    }
+
     /** Returns whether the run was started at the lowest speed since no worker could take it at full speed. */
     boolean slowStart() {
         return slowStart;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Task.java
@@ -194,6 +194,9 @@
         run.setOrderOutcomeKnown(Instant.MIN);
         run.markConfirmed();
         run.markBeginUnknown();
+        if (step.spec().fills()) {
+            run.markThrottleLevelUnknown();
+        }
         return run;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ThrottleControllerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ThrottleControllerTest.java
@@ -48,4 +48,45 @@
     void taskThatInterferesIsMovedFromATaskWithLowHeadroom() {
         assertThat(isMoved(4)).isTrue();
     }
+
+    private List<WorkerOrder> adjustTwice() {
+        List<WorkerOrder> orders = new ArrayList<>();
+        WorkerOrderSender sender = new WorkerOrderSender(
+                new RecordingContext(orders), 1, Duration.ofSeconds(6), new WorkerOrderSenderTest.RecordingListener());
+        ThrottleController controller = new ThrottleController(sender, interference, run -> true, FeatureGates.ALL_ON);
+        controller.adjustThrottling(worker, OwnerFixtures.NOW);
+        controller.adjustThrottling(worker, OwnerFixtures.NOW.plusSeconds(1));
+        return orders;
+    }
+
+    private void restore(Job job) {
+        Run run = OwnerFixtures.task(job).restoreRun(worker, 1, OwnerFixtures.NOW);
+        worker.add(run);
+        run.observe(10, 1, OwnerFixtures.NOW);
+        run.enterPhase(RunPhase.RUNNING, OwnerFixtures.NOW);
+    }
+
+    /** Reports do not show the speed, and a former owner may have paused the run; it was taken for unthrottled. */
+    @Test
+    void speedOfARestoredRunIsSetOnce() {
+        restore(OwnerFixtures.job("f", OwnerFixtures.bestEffortStep("filler", 1, 4_000, 1_000), OwnerFixtures.NOW));
+        assertThat(adjustTwice())
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        WorkerOrder.Pace.class,
+                        pace -> assertThat(pace.percent()).isEqualTo(100));
+    }
+
+    @Test
+    void speedOfARestoredRunThatIsNeverThrottledIsNotSet() {
+        restore(OwnerFixtures.job("s", OwnerFixtures.latencyCriticalStep("server", 1_000, 26), OwnerFixtures.NOW));
+        assertThat(adjustTwice()).isEmpty();
+    }
+
+    @Test
+    void speedOfAnOwnRunWithoutLatencyCriticalTasksIsNotSet() {
+        Job filler = OwnerFixtures.job("f", OwnerFixtures.bestEffortStep("filler", 1, 4_000, 1_000), OwnerFixtures.NOW);
+        OwnerFixtures.run(OwnerFixtures.task(filler), worker, 4_000);
+        assertThat(adjustTwice()).isEmpty();
+    }
 }
