Notify once that the outcome of a start is known

Cause: If a report showed a run before its start was answered, the listener was notified by the report and again by the answer. Change: The answer notifies only if the outcome was not known yet. Result: answerToAStartThatAReportHasShownDoesNotNotifyAgain failed before (one notification) and passes now; answerToAStartNotifiesOnce passes before and after. RunManager's reaction to the notification has no test of its own. Conclusion: A run that was paused stays paused until the controller raises its speed.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -139,11 +139,15 @@
             return;
         }
         if (answer instanceof WorkerAnswer.Done || isRejectedAsOldRun(answer)) {
+            // A report may have shown the run before, and the run may have been throttled since.
+            boolean alreadyKnown = run.orderOutcomeKnownAt() != null;
             run.setOrderOutcomeKnown(context.now());
             if (answer instanceof WorkerAnswer.Done && run.phase() == RunPhase.SENT) {
                 run.enterPhase(RunPhase.RUNNING, context.now());
             }
-            listener.onOrderOutcomeKnown(run);
+            if (!alreadyKnown) {
+                listener.onOrderOutcomeKnown(run);
+            }
         } else if (answer instanceof WorkerAnswer.Lost lost) {
             handleStartUnanswered(run, lost);
         } else if (answer instanceof WorkerAnswer.OtherLife || !run.mayBeStarted()) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -128,6 +128,21 @@
         assertThat(run.startMayBeExecutedLate()).isFalse();
     }
 
+    /** The second notification raised a run to the speed of a slow start after it had been paused. */
+    @Test
+    void answerToAStartThatAReportHasShownDoesNotNotifyAgain() {
+        reportRunning();
+        sender.throttle(run, 0);
+        context.answer(new WorkerAnswer.Done(0));
+        assertThat(listener.outcomeKnown).isEmpty();
+    }
+
+    @Test
+    void answerToAStartNotifiesOnce() {
+        context.answer(new WorkerAnswer.Done(0));
+        assertThat(listener.outcomeKnown).containsExactly(run);
+    }
+
     /** A clock that the test advances, and a worker whose calls the test answers one by one. */
     private static final class ScriptedWorker implements CellContext {
 
@@ -177,11 +192,13 @@
         }
     }
 
-    /** Records the runs whose start was refused. */
+    /** Records the runs whose start was refused, and those of which the outcome of an order became known. */
     static final class RecordingListener implements RunListener {
 
         private final List<Run> refused = new ArrayList<>();
 
+        private final List<Run> outcomeKnown = new ArrayList<>();
+
         @Override
         public long onRunEnded(WorkerState worker, RunEnd end) {
             return 0;
@@ -208,7 +225,9 @@
         public void onStartUnanswered(Run run) {}
 
         @Override
-        public void onOrderOutcomeKnown(Run run) {}
+        public void onOrderOutcomeKnown(Run run) {
+            outcomeKnown.add(run);
+        }
 
         @Override
         public void onUnexpectedRun(WorkerState worker, RunReport report) {}
