Limit the wait of an idle job for its rack in a cell with free capacity

Cause: A task may wait for its rack for as long as a far placement costs it. With tasks of 6 s and a factor of 3 it waited 4 s with nothing of its job at work, while other racks were free. The platform expects a start within 3 s if there is capacity for the task twice over and less than half of the service is in use; its rule makes no exception for affinity. Change: In a service that is not loaded, a task of a job without a run is left waiting only if the wait ends within 2 s of the job having nothing at work. Once one task is placed, the others of the job wait as before. Result: Before, idleJobDoesNotWaitLongerThanThePlatformPermits and otherTasksOfAnIdleJobWaitForTheRack found no run after 3 s; now one runs, and two of three tasks of the second job still run in their rack. jobWaitsInALoadedCell passes before and after: with more than half reserved, nothing changes. Conclusion: The first task of such a job runs far, three times as long in this test.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
@@ -46,6 +46,9 @@
 
     private final Map<RackKey, RackOutlook> outlooks = new HashMap<>();
 
+    /** Which services are loaded, as far as this pass has looked. */
+    private final Map<ServiceName, Boolean> loadedServices = new HashMap<>();
+
     private boolean enabled = true;
 
     private PlacementPass pass;
@@ -77,6 +80,7 @@
         now = newNow;
         nextDecisionAt = Instant.MAX;
         outlooks.clear();
+        loadedServices.clear();
     }
 
     /**
@@ -331,6 +335,9 @@
         /** The decision for the step's tasks that find no free capacity in the rack; null before it is needed. */
         private PlacementDecision decision;
 
+        /** When the first of the tasks was left waiting, or the present; set with the decision. */
+        private Instant waitSince;
+
         private StepPlan(Step step, String rack) {
             this.step = step;
             this.rack = rack;
@@ -348,7 +355,8 @@
                     .anyMatch(candidate -> step.spec().reserved().fitsInto(candidate.free()));
             return !nearFree
                     && tasks.stream().allMatch(this::mayWait)
-                    && decide() instanceof PlacementDecision.WaitForRack;
+                    && decide() instanceof PlacementDecision.WaitForRack wait
+                    && !leavesJobIdle(wait.until());
         }
 
         /**
@@ -363,7 +371,7 @@
                     || best.worker().entry().labels().contains(rack)) {
                 return false;
             }
-            if (!(decide() instanceof PlacementDecision.WaitForRack wait)) {
+            if (!(decide() instanceof PlacementDecision.WaitForRack wait) || leavesJobIdle(wait.until())) {
                 return false;
             }
             if (task.rackWaitSince() == null) {
@@ -402,6 +410,7 @@
                     .map(task -> Duration.between(task.rackWaitSince(), now))
                     .max(Duration::compareTo)
                     .orElse(Duration.ZERO);
+            waitSince = now.minus(waited);
             Duration siblingsEnd = step.tasks().stream()
                     .filter(task -> !task.done())
                     .flatMap(task -> remainingTime(task).stream())
@@ -429,6 +438,27 @@
                     now);
         }
 
+        /**
+         * Returns whether a wait would leave the job with nothing at work for too long although the service is not loaded.
+         * The platform expects a start within 3 s then, whatever a far placement costs. Once one task is placed, the
+         * others wait.
+         */
+        private boolean leavesJobIdle(Instant waitUntil) {
+            if (step.job().hasOpenRun()) {
+                return false;
+            }
+            Instant idleSince = step.job().occurrences().stream()
+                    .flatMap(List::stream)
+                    .flatMap(each -> each.tasks().stream())
+                    .map(Task::waitingSince)
+                    .filter(waitSince::isBefore)
+                    .max(Instant::compareTo)
+                    .orElse(waitSince);
+            return waitUntil.isAfter(idleSince.plus(IdleJob.NOTICEABLE_TIME))
+                    && !loadedServices.computeIfAbsent(
+                            step.job().queue().service(), service -> StarvedTaskPlanner.loaded(service, pass));
+        }
+
         /** Returns which workers of the rack may run the tasks, or empty if all may. */
         private Optional<Predicate<WorkerId>> permittedWorkers(List<Task> tasks) {
             boolean anyWorker = step.spec().requiredLabel() == null
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -145,7 +145,7 @@
      * Returns whether the reserved share is high both of the usable workers and of all workers of the service. A part of
      * the workers that cannot be used for a moment does not make the service loaded.
      */
-    private static boolean loaded(ServiceName service, PlacementPass pass) {
+    static boolean loaded(ServiceName service, PlacementPass pass) {
         List<WorkerState> usable =
                 pass.candidates().stream().map(PlacementCandidate::worker).toList();
         return loaded(service, usable) && loaded(service, pass.workers());
