--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -437,7 +437,8 @@
             }
             pendingCalls.add(now.plus(CALL_LATENCY), () -> {
                 WorkerAnswer result = worker.apply(order, clockMillis());
-                Duration answerDelay = result instanceof WorkerAnswer.Lost ? CALL_TIMEOUT : CALL_LATENCY;
+                Duration answerDelay =
+                        result instanceof WorkerAnswer.Lost ? CALL_TIMEOUT : partitions.answerLatency(order);
                 answer(answerDelay, () -> handler.accept(result));
             });
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -1,10 +1,15 @@
 package org.flamingopitch.scheduler.cell;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
+import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 
-/** The hosts of a simulated cell whose calls to the store or to a worker get no answer and have no effect. */
+/**
+ * The hosts of a simulated cell whose calls to the store or to a worker get no answer and have no effect, and how long the
+ * answers of workers take.
+ */
 public final class Partitions {
 
     private static final String RECORD_PREFIX = "flamingopitch/job/";
@@ -15,6 +20,8 @@
 
     private final Set<Link> lostLinks = new HashSet<>();
 
+    private Duration startAnswerLatency = CellSession.CALL_LATENCY;
+
     /**
      * Cuts a host off from the store.
      *
@@ -62,5 +69,14 @@
         return !lostLinks.contains(new Link(host, worker));
     }
 
+    /** Sets how long the answers of workers to starts take; reports may then show a run before. */
+    void setStartAnswerLatency(Duration latency) {
+        startAnswerLatency = latency;
+    }
+
+    Duration answerLatency(WorkerOrder order) {
+        return order instanceof WorkerOrder.Start ? startAnswerLatency : CellSession.CALL_LATENCY;
+    }
+
     private record Link(String host, String worker) {}
 }
