--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -25,9 +25,6 @@
  */
 final class StarvedTaskPlanner {
 
-    /** From this share of its processor time reserved on, a service counts as loaded. */
-    private static final double LOADED_SHARE = 0.5;
-
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(250);
 
     /** What keeps a task off a worker that it can run on nevertheless. */
@@ -77,7 +74,8 @@
             if (served) {
                 stillServed.add(job.id());
             }
-            boolean loaded = loadedServices.computeIfAbsent(job.queue().service(), service -> loaded(service, pass));
+            boolean loaded = loadedServices.computeIfAbsent(
+                    job.queue().service(), service -> ServiceLoad.high(service, pass, answering));
             if (!loaded && mayStart(job, now) && (served || idleForLong(job, timeOfDayMillis, now))) {
                 selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
@@ -178,28 +176,4 @@
         }
         return tasks;
     }
-
-    /**
-     * Returns whether the reserved share is high of the usable workers, of those that answer and of all workers of the
-     * service. The platform counts the workers that run, and neither a part of them that cannot be used for a moment nor
-     * the runs on lost workers, which stay reserved until they are released, make the service loaded.
-     */
-    private boolean loaded(ServiceName service, PlacementPass pass) {
-        List<WorkerState> usable =
-                pass.candidates().stream().map(PlacementCandidate::worker).toList();
-        List<WorkerState> running = pass.workers().stream().filter(answering).toList();
-        return loaded(service, usable) && loaded(service, running) && loaded(service, pass.workers());
-    }
-
-    private static boolean loaded(ServiceName service, Collection<WorkerState> workers) {
-        long capacity = 0;
-        long reserved = 0;
-        for (WorkerState worker : workers) {
-            if (worker.registered() && worker.entry().service().equals(service)) {
-                capacity += worker.entry().capacity().milliCores();
-                reserved += worker.reserved().milliCores();
-            }
-        }
-        return reserved >= LOADED_SHARE * capacity;
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -142,7 +142,7 @@
         FailedPlacements failures = new FailedPlacements();
         PlacementPass pass = placementPolicy.startPass(
                 workerRegistry.workers(), worker -> usable(worker, now), rackWaits.preferredRacks(jobs.open()), now);
-        rackWaits.startPass(pass, now);
+        rackWaits.startPass(pass, this::answering, now);
         placeInIsolation(pass, now);
         bestEffortPreemption.startPass(worker -> usable(worker, now), now);
         for (Job job : queueOrder.sort(waiting, now)) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/RackWaitLoadTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/RackWaitLoadTest.java
@@ -220,7 +220,7 @@
         private void place(Instant now) {
             Set<String> preferredRacks = keepsRacksFree ? rackWaits.preferredRacks(open) : Set.of();
             PlacementPass pass = policy.startPass(workers, worker -> true, preferredRacks, now);
-            rackWaits.startPass(pass, now);
+            rackWaits.startPass(pass, worker -> true, now);
             List<Job> waiting = open.stream()
                     .filter(job -> job.step(0, 0).waitingCount(now) > 0)
                     .toList();
