Admit short tasks to a reserved worker if the long-running task still fits

Cause: a worker that is reserved for a long-running task was closed to all others, also to those that leave it its room. The target of a move stays reserved for 3.5 s if the stop on the old worker is unanswered. With two such targets, a short job that fits on both beside the moved tasks waited for both reservations, longer than the 3 s of the platform's rule.

Change: WorkerState.reservedForOther no longer keeps off a short task beside which the reserved task still fits. Best-effort tasks, long-running ones, those that may have crashed a worker and other tasks of the same step are kept off as before, and a worker reserved for isolation is closed to all.

Result: ReservedWorkerTest shortJobRunsInTimeThoughBothWorkersAreTargetsOfMoves: before "Expecting actual: 3.52S to be less than: 3S", after it 0.02 s.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
 import org.flamingopitch.scheduler.cell.port.WorkerTarget;
 import org.flamingopitch.scheduler.model.Resources;
@@ -390,10 +391,25 @@
         return needed && now.isBefore(reservedUntil) ? reservationTask : null;
     }
 
-    /** Returns whether the free capacity is reserved for another task than the given one. */
+    /** Returns whether the free capacity is reserved for another task, which the given one would keep out. */
     boolean reservedForOther(Task task, Instant now) {
         Task reservedFor = reservedFor(now);
-        return reservedFor != null && reservedFor != task;
+        return reservedFor != null && reservedFor != task && !fitsBeside(reservedFor, task);
+    }
+
+    /**
+     * Returns whether a short task leaves room for a long-running one that the worker is reserved for, and neither slows
+     * nor endangers it.
+     */
+    private boolean fitsBeside(Task reservedFor, Task task) {
+        StepSpec spec = task.step().spec();
+        StepSpec reservedSpec = reservedFor.step().spec();
+        boolean harmless = !spec.fills() && !task.suspect() && task.step() != reservedFor.step();
+        return reservedSpec.lasting()
+                && !reservedFor.needsIsolation()
+                && !spec.lasting()
+                && harmless
+                && reservedSpec.reserved().fitsInto(free().minus(spec.reserved()));
     }
 
     Instant reservedUntil() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/ReservedWorkerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/ReservedWorkerTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Two workers are reserved for long-running tasks that short ones have to make room for, while a job waits that fits
- * beside them. The platform takes a job for lost that has nothing running for 3 s although two workers have capacity.
+ * Two workers are reserved for long-running tasks, to which short ones make room or which are moved there, while a job
+ * waits that fits on both. The platform takes a job for lost that has nothing running for 3 s although two workers have capacity.
  */
 final class ReservedWorkerTest {
 
@@ -92,4 +92,29 @@
         session.worker("w1").setStopsLost(true);
         assertThat(idleTimeOfAShortJob()).isLessThan(MAX_IDLE_TIME);
     }
+
+    /** The targets of two moves were closed to a task that fits beside the moved ones, until the stops were answered. */
+    @Test
+    void shortJobRunsInTimeThoughBothWorkersAreTargetsOfMoves() {
+        for (String name : List.of("w0", "w1", "b0", "b1")) {
+            FakeWorker worker = session.addWorker(name, 16_000);
+            worker.setDataCentre(name.substring(0, 1));
+            worker.setReportedPercents(task -> SHORT_JOBS.contains(task.job().value()) ? -1 : 100);
+        }
+        session.addHost("h1");
+        session.advance(Duration.ofSeconds(3));
+        EvacuationRequests.evacuate(session, "w");
+        session.advance(Duration.ofMillis(100));
+        submit("00000000000000cc", 1, 9_000, true);
+        submit("00000000000000ce", 1, 9_000, true);
+        session.advance(Duration.ofMillis(500));
+        EvacuationRequests.withdraw(session, "w");
+        session.worker("b0").setStopsLost(true);
+        session.worker("b1").setStopsLost(true);
+        session.advance(Duration.ofMillis(100));
+        EvacuationRequests.evacuate(session, "b");
+        session.advance(Duration.ofMillis(300));
+        assertThat(session.metrics().moves()).hasSize(2);
+        assertThat(idleTimeOfAShortJob()).isLessThan(MAX_IDLE_TIME);
+    }
 }
