Ask the platform which workers run when a silent one holds runs of a former owner

Change: a worker is one life of a machine, and the platform lists its machines. EndedWorkerDetector asks for the list (port LiveWorkerSource, adapter MachineDirectory) while runs are held by workers that have never answered the successor, from 1 s after the records are loaded and once a second. A worker that two complete listings in succession do not have has ended, and its runs end at once (event=worker_gone). Incomplete, failed, unreadable or empty listings prove nothing; without cloudApi in the settings nothing is asked. CellSession offers the list to tests that switch it on. If the platform's calls fail at the same time, the old wait holds.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellHost.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.ProcessId;
 import org.flamingopitch.coordination.api.TimeSource;
@@ -12,6 +13,7 @@
 import org.flamingopitch.coordination.supervisor.Service;
 import org.flamingopitch.coordination.supervisor.Supervisor;
 import org.flamingopitch.platform.CallerHttpHandler;
+import org.flamingopitch.platform.MachineDirectory;
 import org.flamingopitch.platform.OperatorRequestWatcher;
 import org.flamingopitch.platform.PlatformSettings;
 import org.flamingopitch.platform.StoreClient;
@@ -112,6 +114,7 @@
                 store,
                 new WorkerClient(platformClient, clock),
                 new WorkerDirectory(store),
+                Optional.ofNullable(settings.machines()).map(address -> new MachineDirectory(platformClient, address)),
                 metrics,
                 gates);
         loop = new SingleWriterLoop<>(
--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.TimeSource;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
@@ -14,6 +15,7 @@
 import org.flamingopitch.platform.WorkerDirectory;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.LiveWorkerSource;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
@@ -36,6 +38,8 @@
 
     private final WorkerDirectory directory;
 
+    private final Optional<LiveWorkerSource> liveWorkers;
+
     private final CellMetrics metrics;
 
     private final FeatureGates gates;
@@ -52,6 +56,7 @@
             StoreClient store,
             WorkerClient workers,
             WorkerDirectory directory,
+            Optional<? extends LiveWorkerSource> liveWorkers,
             CellMetrics metrics,
             FeatureGates gates) {
         this.clock = clock;
@@ -59,6 +64,7 @@
         this.store = store;
         this.workers = workers;
         this.directory = directory;
+        this.liveWorkers = liveWorkers.map(this::inLoop);
         this.metrics = metrics;
         this.gates = gates;
         this.now = clock.now();
@@ -119,6 +125,15 @@
         directory.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
 
+    @Override
+    public Optional<LiveWorkerSource> liveWorkers() {
+        return liveWorkers;
+    }
+
+    private LiveWorkerSource inLoop(LiveWorkerSource source) {
+        return handler -> source.list(listing -> loop.publish(() -> handler.accept(listing)));
+    }
+
     @Override
     public FeatureGates gates() {
         return gates;
--- a/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cli/ClassArchiveTrainingRun.java
@@ -80,6 +80,7 @@
                 ANY_PORT,
                 ANY_PORT.port(),
                 UNREACHABLE_STORE,
+                null,
                 1,
                 timings,
                 oneSecond);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -20,7 +20,7 @@
 
 /**
  * Registry of the workers of a cell: lists their entries, polls them, and reports runs as terminated when the lease of
- * their worker has expired.
+ * their worker has expired or its process has ended.
  */
 final class WorkerRegistry {
 
@@ -54,6 +54,8 @@
 
     private final RunListener listener;
 
+    private final EndedWorkerDetector endedWorkerDetector;
+
     private final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
 
     private final Map<WorkerId, WorkerPoller> pollers = new LinkedHashMap<>();
@@ -84,6 +86,7 @@
         this.formerLeaseExpiry = formerLeaseExpiry;
         this.evacuations = evacuations;
         this.listener = listener;
+        this.endedWorkerDetector = new EndedWorkerDetector(context, workers.values(), this::endRunsOfEndedWorker);
     }
 
     void start() {
@@ -92,6 +95,7 @@
 
     void close() {
         closed = true;
+        endedWorkerDetector.close();
     }
 
     /** Returns whether the workers have been listed at least once. */
@@ -196,6 +200,7 @@
             endRunsIfLeaseExpired(worker, now);
             removeIfMissing(worker, now);
         }
+        endedWorkerDetector.tick();
     }
 
     /** Returns whether the stop of a run has been unanswered for so long that its worker's lease must expire. */
@@ -223,6 +228,11 @@
         }
     }
 
+    /** Ends the runs of a worker whose process has ended, whatever lease a former owner granted. */
+    private void endRunsOfEndedWorker(WorkerState worker) {
+        listener.onWorkerLapsed(worker, endStartedRuns(worker, "worker gone"));
+    }
+
     private List<Run> endStartedRuns(WorkerState worker, String cause) {
         List<Run> started = worker.runs().stream()
                 .filter(run -> run.phase() != RunPhase.PLANNED)
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.port;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.LoopContext;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
@@ -34,6 +35,15 @@
      */
     void listWorkers(Consumer<WorkerListing> handler);
 
+    /**
+     * Returns the platform's knowledge of which workers it runs.
+     *
+     * @return the source, or empty if this platform has none, as by default
+     */
+    default Optional<LiveWorkerSource> liveWorkers() {
+        return Optional.empty();
+    }
+
     /**
      * Returns which decision mechanisms are on.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/package-info.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/package-info.java
@@ -1,2 +1,5 @@
-/** The interface through which a cell's owner sends orders to workers and reads their registrations from the store. */
+/**
+ * The interface through which a cell's owner sends orders to workers, reads their registrations from the store, and asks
+ * the platform which of them run.
+ */
 package org.flamingopitch.scheduler.cell.port;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -28,6 +29,7 @@
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.LiveWorkerSource;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
 import org.flamingopitch.scheduler.cell.port.WorkerListing;
@@ -67,6 +69,8 @@
 
     private final RecordedMetrics metrics = new RecordedMetrics();
 
+    private final FakeLiveWorkers liveWorkers = new FakeLiveWorkers();
+
     private Instant now = START_TIME;
 
     private CellConfiguration configuration = InitialConfiguration.create();
@@ -98,37 +102,27 @@
     /**
      * Sets whether the connections of all calls to the store are reset: a call fails at once, but may have been
      * executed, or may be executed up to three seconds later.
-     *
-     * @param areReset whether connections are reset
      */
-    public void setStoreConnectionsReset(boolean areReset) {
+    void setStoreConnectionsReset(boolean areReset) {
         storeConnectionsReset = areReset;
     }
 
-    /**
-     * Returns whether the connections of all calls to the store are reset.
-     *
-     * @return whether they are reset
-     */
-    public boolean storeConnectionsReset() {
+    /** Returns whether the connections of all calls to the store are reset. */
+    boolean storeConnectionsReset() {
         return storeConnectionsReset;
     }
 
-    /**
-     * Lets the latency of each call to the store vary.
-     *
-     * @param maxExtra the longest time that is added to the latency of a call
-     */
-    public void varyStoreLatency(Duration maxExtra) {
+    /** Lets the latency of each call to the store vary by up to the given time. */
+    void varyStoreLatency(Duration maxExtra) {
         maxExtraLatencyMillis = (int) maxExtra.toMillis();
     }
 
-    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
     /** Sets the gates of the hosts that are added after this call. */
     void setGates(FeatureGates featureGates) {
         gates = featureGates;
     }
 
+    /** Sets the factor on the duration of tasks outside their rack, for the hosts that are added later. */
     void setFarFactor(double factor) {
         farFactor = factor;
     }
@@ -252,11 +246,12 @@
         return store;
     }
 
-    /**
-     * Returns the moves of long-running tasks by all owners.
-     *
-     * @return the moves
-     */
+    /** Returns the platform's listing of the workers that it runs. */
+    FakeLiveWorkers liveWorkers() {
+        return liveWorkers;
+    }
+
+    /** Returns the moves of long-running tasks by all owners. */
     RecordedMetrics metrics() {
         return metrics;
     }
@@ -452,6 +447,11 @@
             return metrics;
         }
 
+        @Override
+        public Optional<LiveWorkerSource> liveWorkers() {
+            return liveWorkers.source(workers.values(), clockMillis(), this::answer);
+        }
+
         @Override
         public void listWorkers(Consumer<WorkerListing> handler) {
             answer(
