Reject a list of machines that lacks a worker which answers

Cause: a listing that covers a part of the machines, or an old one, was taken as proof that all other workers have ended, also if it lacked workers that answer. Change: a listing counts only if it has all registered workers that answer the owner (event=live_workers_incomplete). Result: LostWorkerSessionTest.listingWithoutAWorkerThatAnswersProvesNothing fails before (the task runs on two workers) and passes; the other eight tests of the class pass before and after. Conclusion: a worker that dies after it has answered the successor delays the proof until it no longer answers or is no longer registered.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.LiveWorkerListing;
@@ -35,6 +36,8 @@
 
     private final Collection<WorkerState> workers;
 
+    private final Predicate<WorkerState> answering;
+
     private final Consumer<WorkerState> endHandler;
 
     /** When the next listing may be requested; null before the first tick. */
@@ -51,11 +54,17 @@
      * Creates a detector.
      *
      * @param workers a view of all workers
+     * @param answering whether the last call to a worker was answered
      * @param endHandler receives each worker whose process has ended
      */
-    EndedWorkerDetector(CellContext context, Collection<WorkerState> workers, Consumer<WorkerState> endHandler) {
+    EndedWorkerDetector(
+            CellContext context,
+            Collection<WorkerState> workers,
+            Predicate<WorkerState> answering,
+            Consumer<WorkerState> endHandler) {
         this.context = context;
         this.workers = workers;
+        this.answering = answering;
         this.endHandler = endHandler;
     }
 
@@ -92,6 +101,10 @@
             return;
         }
         Set<WorkerId> live = ((LiveWorkerListing.Listed) listing).workers();
+        if (!containsAllThatAnswer(live)) {
+            LOGGER.atWarning().log("event=live_workers_incomplete live_workers=%d", live.size());
+            return;
+        }
         List<WorkerState> absent = silentWorkers().stream()
                 .filter(worker -> !live.contains(worker.id()))
                 .toList();
@@ -108,6 +121,14 @@
         }
     }
 
+    /** Returns whether a listing has all registered workers that answer this owner; one without them lacks others too. */
+    private boolean containsAllThatAnswer(Set<WorkerId> live) {
+        return workers.stream()
+                .filter(worker -> worker.registered() && !worker.missingFor(Duration.ZERO, context.now()))
+                .filter(answering)
+                .allMatch(worker -> live.contains(worker.id()));
+    }
+
     private List<WorkerState> silentWorkers() {
         return workers.stream()
                 .filter(worker -> !worker.clockKnown())
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -86,7 +86,8 @@
         this.formerLeaseExpiry = formerLeaseExpiry;
         this.evacuations = evacuations;
         this.listener = listener;
-        this.endedWorkerDetector = new EndedWorkerDetector(context, workers.values(), this::endRunsOfEndedWorker);
+        this.endedWorkerDetector =
+                new EndedWorkerDetector(context, workers.values(), this::answering, this::endRunsOfEndedWorker);
     }
 
     void start() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/LostWorkerSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/LostWorkerSessionTest.java
@@ -119,6 +119,20 @@
         assertThat(session.worker(otherWorker()).started()).isEmpty();
     }
 
+    /** Guards against a listing that covers a part of the machines only. */
+    @Test
+    void listingWithoutAWorkerThatAnswersProvesNothing() {
+        start();
+        session.addWorker("w3", 4_000);
+        session.liveWorkers().setDistortion(live -> Set.of(new WorkerId("w3")));
+        session.worker(worker).setUnresponsive(true);
+        session.killHost(former);
+        advanceWithoutSecondRun(Duration.ofSeconds(10));
+        assertThat(session.running(JOB_ID)).hasSizeLessThanOrEqualTo(1);
+        assertThat(session.worker(otherWorker()).started()).isEmpty();
+        assertThat(session.worker("w3").started()).isEmpty();
+    }
+
     private static Set<WorkerId> without(Set<WorkerId> workers, WorkerId id) {
         Set<WorkerId> others = new HashSet<>(workers);
         others.remove(id);
