Name the last owner in the ledger, and wait for its leases only

Cause: an owner that starts after the former owner's key has ended (all hosts lose power for longer than 2 s, or the watch was read anew) does not know who the former owner was.

Change: the value of the ledger entry names the owner that committed, and for how long leases of the owners before it may last by its own bound. An owner extends no lease and starts nothing before the store has confirmed a commit of its own, so that the last owner in the ledger and those before it are all that a successor waits for: until that one has stopped (a process at its address answers, or the address is this process's own) and a lease more, and until the leases before it are over. While these may last, an owner commits each second, also without a change. The bound by the watch stays, since it is the earlier one after an owner that held the cell for a short time only. The value holds the time that is left instead of the time for which the owner held the cell: it is never later, and it also holds after two losses of power.

Owners of versions before this one extend leases without a commit; a successor does not wait for one that commits nothing.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -52,6 +52,9 @@
 
     private final OwnershipRequester ownershipRequester;
 
+    /** When this process used its address already. */
+    private Instant startedAt;
+
     private CellOwner ownedCell;
 
     /** The request of a process that this owner hands the cell over to when all changes are durable, or null. */
@@ -92,6 +95,7 @@
 
     /** Starts to watch the owner's key and to take part in elections. */
     public void start() {
+        startedAt = context.now();
         election.start();
     }
 
@@ -275,6 +279,8 @@
                 context,
                 timings,
                 election,
+                self,
+                this::awaitStop,
                 version,
                 requestHandler.configuration().orElse(noQueues));
         if (evacuatedDataCentres != null) {
@@ -286,17 +292,21 @@
     @Override
     public void formerOwnerIdentified(FormerOwner formerOwner) {
         CellOwner cell = ownedCell;
-        if (formerOwner.owner().address().equals(self.address())) {
-            cell.recordFormerOwnerStopped(formerOwner);
-            return;
+        awaitStop(formerOwner.owner(), stoppedAt -> cell.recordFormerOwnerStopped(formerOwner, stoppedAt));
+    }
+
+    /** Passes on a time by which a former owner did not own the cell any more, once there is one. */
+    private void awaitStop(OwnerRecord formerOwner, Consumer<Instant> onStopped) {
+        if (formerOwner.process().equals(self.process())) {
+            // This process had given up its former ownership before it was elected again.
+            onStopped.accept(context.now());
+        } else if (formerOwner.address().equals(self.address())) {
+            // Only one process can use the address, so that the former owner ended before this process used it.
+            onStopped.accept(startedAt);
+        } else {
+            Runnable onNotOwner = () -> onStopped.accept(context.now());
+            new FormerOwnerProbe(context, ownerClient, formerOwner, ownedCell::mayFormerOwnerAct, onNotOwner).start();
         }
-        new FormerOwnerProbe(
-                        context,
-                        ownerClient,
-                        formerOwner.owner(),
-                        cell::mayFormerOwnerAct,
-                        () -> cell.recordFormerOwnerStopped(formerOwner))
-                .start();
     }
 
     @Override
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
 import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
@@ -30,15 +31,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /**
-     * How long an owner may extend leases and start tasks after the store last confirmed its ownership. A successor waits
-     * as long, and then for the leases, before it treats runs on workers that it cannot reach as ended.
-     */
-    private static final Duration MAX_UNCONFIRMED_TIME = Duration.ofSeconds(4);
-
-    /** Added to the latest possible expiry of the former owner's leases, as an order may wait in a buffer. */
-    private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(300);
-
     private static final long MILLICORES_PER_CORE = 1_000;
 
     private final CellContext context;
@@ -69,10 +61,11 @@
 
     private final long fencingToken;
 
+    private final OwnerRecord self;
+
     private final Instant electedAt;
 
-    /** The longest time for which a worker may hold a lease, by the clock of this process. */
-    private final Duration longestLease;
+    private final FormerLeases formerLeases;
 
     private final Evacuations evacuations = new Evacuations();
 
@@ -91,6 +84,9 @@
      * @param context the event loop
      * @param timings the platform's time limits
      * @param election the election that this process won
+     * @param self the record of this process
+     * @param stopMonitor is told the former owner that the ledger names, and passes on a time by which that one had
+     *     stopped to extend leases, if it learns one
      * @param fencingToken the version at which this process won the owner's key; workers reject orders with a lower one
      * @param configuration the queues in force
      */
@@ -98,27 +94,28 @@
             CellContext context,
             CellTimings timings,
             Election election,
+            OwnerRecord self,
+            BiConsumer<OwnerRecord, Consumer<Instant>> stopMonitor,
             long fencingToken,
             CellConfiguration configuration) {
         this.context = context;
         this.timings = timings;
         this.election = election;
+        this.self = self;
         this.fencingToken = fencingToken;
         this.configuration = configuration;
         this.refusals = new JobRefusals(context.metrics());
         this.unconfirmedRequests = new UnconfirmedRequests(election);
         this.electedAt = context.now();
-        // The clock of a worker may be 2 % slow.
-        this.longestLease = timings.maxLease().multipliedBy(100).dividedBy(98);
-        Instant formerLeaseExpiry =
-                electedAt.plus(MAX_UNCONFIRMED_TIME).plus(longestLease).plus(TAKEOVER_MARGIN);
+        this.formerLeases = new FormerLeases(electedAt, timings.maxLease(), stopMonitor, this::limitFormerLeases);
         this.statistics = new LearnedStatistics(electedAt, context.gates());
         this.runManager =
                 new RunManager(context, timings, fencingToken, jobs, statistics, this::stepDownAfterRejection);
         this.workerRegistry = new WorkerRegistry(
-                context, fencingToken, timings.maxLease(), formerLeaseExpiry, evacuations, runManager);
+                context, fencingToken, timings.maxLease(), formerLeases.expiry(), evacuations, runManager);
         this.load = new CellLoad(jobs, workerRegistry, statistics.bestEffortCompletionRate());
-        this.recordsLoader = new CellRecordsLoader(context, this::restore);
+        this.recordsLoader = new CellRecordsLoader(
+                context, ledger -> formerLeases.applyLedger(ledger, context.now()), this::restore);
     }
 
     /** Starts to load the records of former owners and to poll the workers. */
@@ -128,20 +125,17 @@
     }
 
     /**
-     * Shortens the wait for workers that cannot be reached, since the former owner extends no more leases. The claim of
-     * an owner is sent before its record is seen, and it acts for {@link #MAX_UNCONFIRMED_TIME} after that at most, even
-     * if it learns late that it was elected; the same holds for all owners before it.
+     * Shortens the wait for workers that cannot be reached, since the former owner extends no more leases.
      *
      * @param formerOwner an owner that has been found not to own the cell any more
+     * @param stoppedAt a time by which it did not
      */
-    public void recordFormerOwnerStopped(FormerOwner formerOwner) {
-        Instant now = context.now();
-        Instant lastActAt = formerOwner.seenAt().plus(MAX_UNCONFIRMED_TIME);
-        Instant stoppedAt = lastActAt.isAfter(now) ? lastActAt : now;
-        LOGGER.atInfo().log(
-                "event=former_owner_stopped owner=%s after_election_ms=%d",
-                formerOwner.owner().process(), Duration.between(electedAt, now).toMillis());
-        workerRegistry.limitFormerLeases(stoppedAt.plus(longestLease).plus(TAKEOVER_MARGIN));
+    public void recordFormerOwnerStopped(FormerOwner formerOwner, Instant stoppedAt) {
+        formerLeases.recordStopped(formerOwner, stoppedAt);
+    }
+
+    private void limitFormerLeases(Instant expiry) {
+        workerRegistry.limitFormerLeases(expiry);
     }
 
     /**
@@ -150,7 +144,7 @@
      * @return whether this process owns the cell and the former owner may still extend leases
      */
     public boolean mayFormerOwnerAct() {
-        return !closed && context.now().isBefore(electedAt.plus(MAX_UNCONFIRMED_TIME));
+        return !closed && formerLeases.mayFormerOwnerAct(context.now());
     }
 
     /**
@@ -248,7 +242,7 @@
             return;
         }
         unconfirmedRequests.release(context.now(), this::execute);
-        workerRegistry.tick(mayAct());
+        workerRegistry.tick(mayExtendLeases());
         runManager.tick();
         commitLog.sendIfDue();
         if (storeAway()) {
@@ -287,7 +281,7 @@
      * @return whether this owner may act
      */
     public boolean mayAct() {
-        return context.now().isBefore(election.confirmedAt().plus(MAX_UNCONFIRMED_TIME));
+        return context.now().isBefore(election.confirmedAt().plus(FormerLeases.MAX_UNCONFIRMED_TIME));
     }
 
     /**
@@ -297,8 +291,13 @@
      */
     private boolean mayPlace() {
         boolean evacuationsConfirmed = timings.evacuationLimit().isZero()
-                || context.now().isBefore(evacuationsConfirmedAt.plus(MAX_UNCONFIRMED_TIME));
-        return evacuations.known() && evacuationsConfirmed && mayAct();
+                || context.now().isBefore(evacuationsConfirmedAt.plus(FormerLeases.MAX_UNCONFIRMED_TIME));
+        return evacuations.known() && evacuationsConfirmed && mayExtendLeases();
+    }
+
+    /** Returns whether this process may act and a successor will know that it may have extended leases. */
+    private boolean mayExtendLeases() {
+        return commitLog.ownerRecorded() && mayAct();
     }
 
     private void restore(
@@ -315,7 +314,8 @@
             jobs.add(job);
             runManager.onJobRestored(job);
         });
-        commitLog = new CommitLog(context, fencingToken, ledgerVersion, statistics::record, new CommitListener());
+        Ownership ownership = new Ownership(fencingToken, self, formerLeases::expiry);
+        commitLog = new CommitLog(context, ownership, ledgerVersion, statistics::record, new CommitListener());
         runManager.startPlacing(commitLog, workerRegistry, this::mayPlace);
         LOGGER.atInfo().log(
                 "event=cell_loaded fence=%d jobs=%d open=%d ms=%d",
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -22,6 +22,8 @@
 
     private final CellContext context;
 
+    private final Consumer<KeyValueEntry> ledgerHandler;
+
     private final Listener listener;
 
     private Map<JobId, JobRecord> jobs;
@@ -36,8 +38,15 @@
 
     private boolean closed;
 
-    CellRecordsLoader(CellContext context, Listener listener) {
+    /**
+     * Creates a loader.
+     *
+     * @param ledgerHandler receives the ledger entry as soon as it is read, unless there is none
+     * @param listener receives the records
+     */
+    CellRecordsLoader(CellContext context, Consumer<KeyValueEntry> ledgerHandler, Listener listener) {
         this.context = context;
+        this.ledgerHandler = ledgerHandler;
         this.listener = listener;
     }
 
@@ -55,8 +64,11 @@
     private void readLedger() {
         read(new KeyValueRequest.Get(CellKeys.LEDGER), this::readLedger, result -> {
             ledgerRead = true;
-            ledgerVersion =
-                    result instanceof KeyValueResult.Found found ? found.entry().version() : KeyValueRequest.ABSENT;
+            ledgerVersion = KeyValueRequest.ABSENT;
+            if (result instanceof KeyValueResult.Found found) {
+                ledgerVersion = found.entry().version();
+                ledgerHandler.accept(found.entry());
+            }
         });
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -33,12 +33,18 @@
     /** Minimum time between transactions without an urgent change, since calls to the store are charged. */
     private static final Duration BATCH_INTERVAL = Duration.ofMillis(120);
 
+    /**
+     * Interval of commits without changes while leases of former owners may last. They tell a successor how long those
+     * may last; it waits longer by up to the age of the last commit.
+     */
+    private static final Duration MARKER_INTERVAL = Duration.ofSeconds(1);
+
     /** Delay before a failed transaction is sent again; the store rejects calls that come too often. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(60);
 
     private final CellContext context;
 
-    private final long ownerVersion;
+    private final Ownership ownership;
 
     private final Listener listener;
 
@@ -70,14 +76,19 @@
 
     private long transactionCount;
 
+    /** Whether the store has confirmed a commit, so that a successor knows of this owner. */
+    private boolean ownerRecorded;
+
+    private Instant markerSentAt = Instant.MIN;
+
     CommitLog(
             CellContext context,
-            long ownerVersion,
+            Ownership ownership,
             long ledgerVersion,
             Supplier<LearnedRecord> learnedStatistics,
             Listener listener) {
         this.context = context;
-        this.ownerVersion = ownerVersion;
+        this.ownership = ownership;
         this.ledgerVersion = ledgerVersion;
         this.listener = listener;
         this.learnedStatistics = learnedStatistics;
@@ -166,6 +177,14 @@
         return sequence;
     }
 
+    /**
+     * Returns whether the ledger has named this process as the last owner, which is required before it extends a lease:
+     * a successor waits for the leases of the owner that the ledger names and of those before it only.
+     */
+    boolean ownerRecorded() {
+        return ownerRecorded;
+    }
+
     /** Returns whether no change waits and no transaction is in flight. */
     boolean idle() {
         return !changesPending() && inFlight == null;
@@ -194,11 +213,13 @@
 
     /** Sends the next transaction if none is in flight and a change is due; called after each event. */
     void sendIfDue() {
-        if (closed || inFlight != null || !changesPending()) {
+        if (closed || inFlight != null || !changesPending() && !markerDue()) {
             return;
         }
         Instant dueAt = lastSentAt.equals(Instant.MIN) ? context.now() : lastSentAt.plus(BATCH_INTERVAL);
-        boolean urgent = partlySent != null || changes.values().stream().anyMatch(JobChange::urgent);
+        boolean urgent = !ownerRecorded
+                || partlySent != null
+                || changes.values().stream().anyMatch(JobChange::urgent);
         if (!urgent && context.now().isBefore(dueAt)) {
             scheduleSend(Duration.between(context.now(), dueAt));
             return;
@@ -208,6 +229,12 @@
         send(inFlight);
     }
 
+    private boolean markerDue() {
+        return !ownerRecorded
+                || ownership.formerLeasesMayLast(context.now())
+                        && !context.now().isBefore(markerSentAt.plus(MARKER_INTERVAL));
+    }
+
     private void scheduleSend(Duration delay) {
         if (!timerPending) {
             timerPending = true;
@@ -272,7 +299,8 @@
     /** Sends the remaining records of a batch in a transaction, or one of them if the batch was rejected. */
     private void send(CommitBatch batch) {
         transactionCount++;
-        batch.setCommitMarker(ownerVersion + "." + transactionCount);
+        markerSentAt = context.now();
+        batch.setCommitMarker(ownership.marker(transactionCount, markerSentAt).encode());
         List<KeyValueRequest.Write> writes = new ArrayList<>();
         List<String> deletions = new ArrayList<>();
         for (PendingRecord record : batch.nextRecords()) {
@@ -284,7 +312,7 @@
         }
         writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, batch.commitMarker(), null));
         List<KeyValueRequest.Condition> conditions = List.of(
-                new KeyValueRequest.Condition(CellKeys.OWNER, ownerVersion),
+                new KeyValueRequest.Condition(CellKeys.OWNER, ownership.version()),
                 new KeyValueRequest.Condition(CellKeys.LEDGER, ledgerVersion));
         outage.onSent(context.now());
         callStore(batch, new KeyValueRequest.Transaction(conditions, writes, deletions));
@@ -372,11 +400,12 @@
                 return;
             }
         }
-        listener.onOwnershipLost("owner_version=" + actualOwnerVersion + " expected=" + ownerVersion);
+        listener.onOwnershipLost("owner_version=" + actualOwnerVersion + " expected=" + ownership.version());
     }
 
     private void applyCommit(CommitBatch batch, long version) {
         ledgerVersion = version;
+        ownerRecorded = true;
         outage.onAnswered(context.now());
         batch.markCommitted();
         if (batch.committed()) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
@@ -5,10 +5,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.owner.CellKeys;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests when a successor treats tasks as ended whose workers it cannot reach. */
 final class FormerOwnerLeaseTest {
@@ -23,8 +26,14 @@
      */
     private static final Duration MAX_WAIT_AFTER_RESTART = Duration.ofSeconds(4 + 3);
 
+    /** Longer than a successor waits for the leases of an owner that it knows nothing about. */
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(12);
+
     private static final int SEEDS = 200;
 
+    /** Selects other seeds, such as {@code 1-400}. */
+    private static final String RESTART_SEEDS_PROPERTY = "formerOwner.seeds";
+
     private static final List<String> HOSTS = List.of("h1", "h2");
 
     private CellSession session = new CellSession();
@@ -45,6 +54,10 @@
         return session.node("h1").ownsCell() ? "h1" : "h2";
     }
 
+    private static String otherThan(String host) {
+        return host.equals("h1") ? "h2" : "h1";
+    }
+
     private String workerOfTask() {
         return session.worker("w1").running().isEmpty() ? "w2" : "w1";
     }
@@ -62,6 +75,112 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    /**
+     * The former owner's key ends before a host is back, so that no host has seen who it was. The former owner had held
+     * the cell for longer than any lease lasts.
+     */
+    @Test
+    void taskOfAWorkerThatIsLostBeforeAllHostsLosePowerStartsElsewhereInTime() {
+        start();
+        session.advance(LONGEST_WAIT);
+        loseWorkerAndPower();
+        session.advance(MAX_WAIT_AFTER_RESTART);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    /** The watch is read anew while the former owner holds the key, so that it does not tell whether others followed it. */
+    @Test
+    void taskOfAWorkerThatIsLostWithTheOwnerAfterAReListStartsElsewhereInTime() {
+        start();
+        session.advance(LONGEST_WAIT);
+        session.store().setUnreadablePrefix(CellKeys.OWNER_PREFIX);
+        session.advance(Duration.ofMillis(500));
+        session.store().setUnreadablePrefix(null);
+        session.advance(Duration.ofSeconds(1));
+        String killed = owner();
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        session.killHost(killed);
+        session.advance(RESTART_TIME);
+        session.addHost(killed);
+        session.advance(MAX_WAIT_AFTER_RESTART);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    /** The owners before the last one ended a short time ago, but the last one knew that they had. */
+    @Test
+    void taskOfAWorkerThatIsLostBeforeHostsLosePowerTwiceStartsElsewhereInTime() {
+        start();
+        session.advance(LONGEST_WAIT);
+        loseWorkerAndPower();
+        session.advance(Duration.ofSeconds(1));
+        losePower();
+        session.advance(MAX_WAIT_AFTER_RESTART);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    private void loseWorkerAndPower() {
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        losePower();
+    }
+
+    private void losePower() {
+        HOSTS.forEach(session::killHost);
+        session.advance(RESTART_TIME);
+        HOSTS.forEach(session::addHost);
+    }
+
+    /** The ledger would not name it, so that a successor would not wait for these leases. */
+    @Test
+    void ownerExtendsNoLeaseBeforeItsFirstCommit() {
+        start();
+        session.store().setRejectedKeys(CellKeys.LEDGER::equals);
+        String former = owner();
+        session.killHost(former);
+        session.advance(Duration.ofSeconds(9));
+        assertThat(session.node(otherThan(former)).ownsCell()).isTrue();
+        assertThat(session.running(JOB_ID)).isEmpty();
+    }
+
+    /** Processes of an earlier version write no owner into the ledger; the longest wait then holds. */
+    @Test
+    void taskNeverRunsTwiceIfTheLedgerDoesNotNameTheLastOwner() {
+        start();
+        session.advance(LONGEST_WAIT);
+        String former = owner();
+        String successor = otherThan(former);
+        session.killHost(successor);
+        session.partitions().cutFromWorker(successor, workerOfTask());
+        session.partitions().cutFromStore(former);
+        session.store().write(CellKeys.LEDGER, "17.3");
+        session.advance(RESTART_TIME);
+        session.addHost(successor);
+        session.advance(MAX_WAIT_AFTER_RESTART);
+        assertThat(session.node(successor).ownsCell()).isTrue();
+        assertThat(session.worker("w1").started().size()
+                        + session.worker("w2").started().size())
+                .isEqualTo(1);
+        session.advance(Duration.ofSeconds(5));
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    /**
+     * The owner is cut off from the store and goes on with the leases of a worker that no other host reaches, while
+     * those restart, are elected and die before their first commit, and get no or late answers from the store.
+     */
+    @ParameterizedTest
+    @MethodSource("restartSeeds")
+    void taskNeverRunsTwiceWhileHostsRestartAndItsFormerOwnerLivesOn(long seed) {
+        session = new CellSession(seed);
+        new RestartSession(session, new SplittableRandom(seed), JOB_ID).play();
+    }
+
+    static LongStream restartSeeds() {
+        String[] bounds = System.getProperty(RESTART_SEEDS_PROPERTY, "1-60").split("-");
+        return LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[1]));
+    }
+
     @Test
     void taskNeverRunsTwiceWhileItsFormerOwnerMayExtendTheLease() {
         for (long seed = 1; seed <= SEEDS; seed++) {
@@ -80,7 +199,7 @@
         HOSTS.forEach(session::addHost);
         session.advance(Duration.ofSeconds(idleSeconds));
         String former = owner();
-        session.partitions().cutFromWorker(former.equals("h1") ? "h2" : "h1", "w1");
+        session.partitions().cutFromWorker(otherThan(former), "w1");
         worker.setStartDelayMillis(delayMillis);
         CallerOperation submission = new CallerOperation.Submit(CellSession.job(1, 1_000, true));
         session.call(former, submission, "/q/" + JOB_ID);
@@ -98,7 +217,7 @@
     /** Cuts the owner off from the store and its successor off from the worker that runs the task. */
     private void runPartition(SplittableRandom random, String description) {
         String former = owner();
-        String successor = former.equals("h1") ? "h2" : "h1";
+        String successor = otherThan(former);
         String worker = workerOfTask();
         session.partitions().cutFromWorker(successor, worker);
         session.partitions().cutFromStore(former);
