--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.owner.CellKeys;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -119,6 +120,26 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    /** The leases of the former owner are over before the successor has asked the worker for what has ended there. */
+    @Test
+    void taskThatEndedDuringALongOutageIsNotStartedAgain() {
+        session.store().setLeasesExpire(true);
+        FakeWorker worker = session.addWorker("w1", 4_000);
+        session.addHost("h1");
+        session.advance(LONGEST_WAIT);
+        session.call("h1", new CallerOperation.Submit(CellSession.job(1, 1_000, false)), "/q/" + JOB_ID);
+        session.advance(Duration.ofMillis(500));
+        session.store().setUnavailable(true);
+        session.killHost("h1");
+        worker.end(session.running(JOB_ID).get(0), EndKind.DONE);
+        session.addHost("h1");
+        session.advance(LONGEST_WAIT);
+        session.store().setUnavailable(false);
+        session.advance(LONGEST_WAIT);
+        assertThat(worker.started()).hasSize(1);
+        assertThat(session.running(JOB_ID)).isEmpty();
+    }
+
     private void loseWorkerAndPower() {
         session.removeWorker(workerOfTask());
         session.advance(Duration.ofMillis(500));
