--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -91,6 +92,12 @@
         assertThat(DrawnSession.withClosing(seed).play().violations()).isEmpty();
     }
 
+    /** Two workers have the label, and tasks that may have crashed workers are isolated on both. */
+    @Test
+    void noJobIsIdleWhileTasksInIsolationReserveAllWorkersWithALabel() {
+        assertThat(new DrawnSession(30163).play().violations()).isEmpty();
+    }
+
     private static IdleJobCheck play(DrawnSession session, long seed) {
         IdleJobCheck check = session.play();
         System.out.printf(
