Test that takeovers in a row do not restart the wait for former leases

Cause: an owner that was itself elected a few seconds before leaves a marker with nearly the whole time for which leases of the owners before it may last, and its successor counts that time from the reading of the marker.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
@@ -39,6 +39,9 @@
      */
     private static final long[] LOST_WORKER_SEEDS = {20030, 20117, 20345};
 
+    /** In these, an owner that was itself elected a few seconds before is lost in a closing, and workers with it. */
+    private static final long[] CONSECUTIVE_TAKEOVER_SEEDS = {81402, 81539};
+
     static LongStream seeds() {
         return seeds(SEEDS_PROPERTY, SEEDS);
     }
@@ -51,6 +54,10 @@
         return LongStream.of(LOST_WORKER_CLOSING_SEEDS);
     }
 
+    static LongStream consecutiveTakeoverSeeds() {
+        return LongStream.of(CONSECUTIVE_TAKEOVER_SEEDS);
+    }
+
     static LongStream closingSeeds() {
         return seeds(CLOSING_SEEDS_PROPERTY, CLOSING_SEEDS);
     }
@@ -92,6 +99,12 @@
         assertThat(DrawnSession.withClosing(seed).play().violations()).isEmpty();
     }
 
+    @ParameterizedTest
+    @MethodSource("consecutiveTakeoverSeeds")
+    void noJobIsIdleBecauseEachTakeoverRestartsTheWaitForFormerLeases(long seed) {
+        assertThat(DrawnSession.withClosing(seed).play().violations()).isEmpty();
+    }
+
     /** Two workers have the label, and tasks that may have crashed workers are isolated on both. */
     @Test
     void noJobIsIdleWhileTasksInIsolationReserveAllWorkersWithALabel() {
