Ask the platform about a worker that falls silent, and not only after a takeover

Cause: EndedWorkerDetector asks only about workers that have never answered this owner. The runs of one that has answered and then loses its machine stay open until its lease ends, up to 6.4 s, while the platform says that it is gone, and jobs that could run have nothing at work for longer than 3 s.

Change: all silent workers with runs are asked about, from 1 s after they fall silent. An answer of the worker refutes earlier listings, and a run whose start may still be carried out waits for the lease.

Conclusion: the same cause as in the wait for a former owner, on a related path: the worst case is waited for although something better is known.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -4,26 +4,30 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.port.LiveWorkerListing;
 import org.flamingopitch.scheduler.cell.port.LiveWorkerSource;
 import org.flamingopitch.scheduler.model.WorkerId;
 
 /**
- * Detects workers whose process has ended among those that hold runs of a former owner and have never answered this one.
- * Silence does not tell: the worker may be cut off from this owner only, and the former owner may extend its lease. The
+ * Detects workers whose process has ended among those that hold runs and do not answer. Silence does not tell: the worker
+ * may be cut off from this owner only and run on until its lease ends, and a former owner may extend that lease. The
  * platform is asked only while there are such workers, because each call to it is charged.
  */
 final class EndedWorkerDetector {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** After this time the first poll of a worker has been answered or has failed, so that a calm takeover asks nothing. */
+    /**
+     * How long a worker is silent before the platform is asked. In this time the first poll of a worker has been answered
+     * or has failed, so that a calm takeover asks nothing.
+     */
     private static final Duration FIRST_LISTING_DELAY = Duration.ofMillis(1_000);
 
     /**
@@ -40,15 +44,17 @@
 
     private final Consumer<WorkerState> endHandler;
 
-    /** When the next listing may be requested; null before the first tick. */
-    private Instant nextAt;
+    private Instant nextAt = Instant.MIN;
 
     private boolean callInFlight;
 
     private boolean closed;
 
-    /** The silent workers that the last complete listing did not contain. */
-    private Set<WorkerId> unlisted = Set.of();
+    /** Since when each silent worker has been seen to be silent. */
+    private final Map<WorkerId, Instant> silentSince = new HashMap<>();
+
+    /** The silent workers that the last complete listing did not contain, with the time of its request. */
+    private Map<WorkerId, Instant> unlisted = Map.of();
 
     /**
      * Creates a detector.
@@ -75,13 +81,14 @@
     /** Requests a listing if one is due. Called at regular intervals once the records of former owners are loaded. */
     void tick() {
         Instant now = context.now();
-        if (nextAt == null) {
-            nextAt = now.plus(FIRST_LISTING_DELAY);
+        List<WorkerId> silent = silentWorkers().stream().map(WorkerState::id).toList();
+        silentSince.keySet().retainAll(silent);
+        silent.forEach(worker -> silentSince.putIfAbsent(worker, now));
+        boolean wanted =
+                silentSince.values().stream().anyMatch(since -> !now.isBefore(since.plus(FIRST_LISTING_DELAY)));
+        if (wanted && !callInFlight && !now.isBefore(nextAt)) {
+            context.liveWorkers().ifPresent(source -> requestListing(source, now));
         }
-        if (callInFlight || now.isBefore(nextAt) || silentWorkers().isEmpty()) {
-            return;
-        }
-        context.liveWorkers().ifPresent(source -> requestListing(source, now));
     }
 
     private void requestListing(LiveWorkerSource source, Instant now) {
@@ -90,12 +97,12 @@
         source.list(listing -> {
             callInFlight = false;
             if (!closed) {
-                apply(listing);
+                apply(listing, now);
             }
         });
     }
 
-    private void apply(LiveWorkerListing listing) {
+    private void apply(LiveWorkerListing listing, Instant requestedAt) {
         if (listing instanceof LiveWorkerListing.Unavailable unavailable) {
             LOGGER.atWarning().log("event=live_workers_unavailable failure=\"%s\"", unavailable.failure());
             return;
@@ -105,13 +112,15 @@
             LOGGER.atWarning().log("event=live_workers_incomplete live_workers=%d", live.size());
             return;
         }
-        List<WorkerState> absent = silentWorkers().stream()
-                .filter(worker -> !live.contains(worker.id()))
-                .toList();
-        Set<WorkerId> absentBefore = unlisted;
-        unlisted = absent.stream().map(WorkerState::id).collect(Collectors.toUnmodifiableSet());
-        for (WorkerState worker : absent) {
-            if (absentBefore.contains(worker.id())) {
+        Map<WorkerId, Instant> absentBefore = unlisted;
+        unlisted = new HashMap<>();
+        for (WorkerState worker : silentWorkers()) {
+            if (live.contains(worker.id()) || worker.answeredSince(requestedAt)) {
+                continue;
+            }
+            unlisted.put(worker.id(), requestedAt);
+            Instant before = absentBefore.get(worker.id());
+            if (before != null && !worker.answeredSince(before)) {
                 LOGGER.atWarning().log(
                         "event=worker_gone worker=%s evidence=\"absent from two listings of the platform\""
                                 + " live_workers=%d runs=%d",
@@ -131,8 +140,8 @@
 
     private List<WorkerState> silentWorkers() {
         return workers.stream()
-                .filter(worker -> !worker.clockKnown())
-                .filter(worker -> worker.runs().stream().anyMatch(run -> run.phase() != RunPhase.PLANNED))
+                .filter(worker -> !answering.test(worker))
+                .filter(worker -> worker.runs().stream().anyMatch(Run::endsWithWorker))
                 .toList();
     }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -309,6 +309,11 @@
         return startUnanswered || startInFlight();
     }
 
+    /** Returns whether the run cannot be at work once the worker's process has ended, whichever process follows it. */
+    boolean endsWithWorker() {
+        return phase != RunPhase.PLANNED && !startMayBeExecutedLate();
+    }
+
     Instant retryAt() {
         return retryAt;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.model.WorkerEntry;
@@ -219,7 +220,7 @@
         if (worker.runs().isEmpty() || now.isBefore(worker.latestLeaseExpiry())) {
             return;
         }
-        List<Run> ended = endStartedRuns(worker, "worker lease expired");
+        List<Run> ended = endRuns(worker, WorkerRegistry::started, "worker lease expired");
         if (!ended.isEmpty()) {
             listener.onWorkerLapsed(worker, ended);
         }
@@ -229,17 +230,19 @@
         }
     }
 
-    /** Ends the runs of a worker whose process has ended, whatever lease a former owner granted. */
+    /** Ends the runs of a worker whose process has ended, whatever lease it holds. */
     private void endRunsOfEndedWorker(WorkerState worker) {
-        listener.onWorkerLapsed(worker, endStartedRuns(worker, "worker gone"));
+        listener.onWorkerLapsed(worker, endRuns(worker, Run::endsWithWorker, "worker gone"));
     }
 
-    private List<Run> endStartedRuns(WorkerState worker, String cause) {
-        List<Run> started = worker.runs().stream()
-                .filter(run -> run.phase() != RunPhase.PLANNED)
-                .toList();
-        started.forEach(run -> listener.onRunTerminated(run, cause));
-        return started;
+    private List<Run> endRuns(WorkerState worker, Predicate<Run> which, String cause) {
+        List<Run> ended = worker.runs().stream().filter(which).toList();
+        ended.forEach(run -> listener.onRunTerminated(run, cause));
+        return ended;
+    }
+
+    private static boolean started(Run run) {
+        return run.phase() != RunPhase.PLANNED;
     }
 
     private void removeIfMissing(WorkerState worker, Instant now) {
@@ -281,7 +284,7 @@
         former.markReplaced();
         LOGGER.atWarning().log(
                 "event=worker_replaced worker=%s by=%s address=%s", former.id(), successor.id(), successor.address());
-        listener.onWorkerCrashed(former, endStartedRuns(former, "worker replaced"));
+        listener.onWorkerCrashed(former, endRuns(former, WorkerRegistry::started, "worker replaced"));
     }
 
     private void listWorkers() {
