Count a crash of a worker that does not come back

Cause: runs that end with the lease of a silent worker are counted as crashed only if a new worker answers at its address. If the machine is gone for good, no crash is counted, and a task that crashes each worker is started for ever; the platform forbids a sixth start.

Change: a worker that has answered this owner and that the platform no longer runs has crashed under its unproven runs.

Conclusion: a state that only an event ends, and the event can be missing.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -230,9 +230,17 @@
         }
     }
 
-    /** Ends the runs of a worker whose process has ended, whatever lease it holds. */
+    /**
+     * Ends the runs of a worker whose process has ended, whatever lease it holds. A worker that has answered this owner
+     * has crashed under its runs; when one ended that only a former owner knew is not known.
+     */
     private void endRunsOfEndedWorker(WorkerState worker) {
-        listener.onWorkerLapsed(worker, endRuns(worker, Run::endsWithWorker, "worker gone"));
+        List<Run> ended = endRuns(worker, Run::endsWithWorker, "worker gone");
+        if (worker.hasReported()) {
+            listener.onWorkerCrashed(worker, ended);
+        } else {
+            listener.onWorkerLapsed(worker, ended);
+        }
     }
 
     private List<Run> endRuns(WorkerState worker, Predicate<Run> which, String cause) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CrashedWorkerSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CrashedWorkerSessionTest.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
+import org.flamingopitch.scheduler.cell.entry.CallerReply;
 import org.flamingopitch.scheduler.model.WorkerId;
 import org.junit.jupiter.api.Test;
 
@@ -107,6 +109,29 @@
         assertThat(session.liveWorkers().callMillis()).isEmpty();
     }
 
+    /** Guards against further starts of a task whose workers are gone for good, so that none restarts under its address. */
+    @Test
+    void taskUnderWhichThreeWorkersAreLostForGoodIsGivenUp() {
+        session.store().setLeasesExpire(true);
+        session.liveWorkers().setOffered(true);
+        for (int i = 0; i < 8; i++) {
+            session.addWorker("w" + i, 4_000).setDeadlyTasks(task -> true);
+        }
+        session.addHost("h1");
+        session.advance(Duration.ofSeconds(3));
+        List<CallerReply> replies =
+                session.call("h1", new CallerOperation.Submit(CellSession.job(1, 1_000, false)), "/q/" + JOB_ID);
+        for (int i = 0; i < 300; i++) {
+            session.advance(Duration.ofMillis(100));
+        }
+        assertThat(replies).hasSize(1);
+        int crashed = 0;
+        for (int i = 0; i < 8; i++) {
+            crashed += session.worker("w" + i).crashed() ? 1 : 0;
+        }
+        assertThat(crashed).isEqualTo(3);
+    }
+
     private void advanceUntilCalls(int count) {
         for (int i = 0; i < 400 && session.liveWorkers().callMillis().size() < count; i++) {
             session.advance(Duration.ofMillis(10));
