Schedule a campaign whenever the cell is vacant

Cause: a campaign was scheduled when the watch showed the end of the owner's key, and its timer did nothing while a claim was under way. A claim that was then refused, abandoned or found to have ended scheduled nothing. No later change of the key followed, so that a host that was alone never claimed the cell again: after a claim for the record of a predecessor that ended meanwhile, after a claim that was carried out and ended before its answer or before the read that replaces the answer, and after a step-down during a claim.

Change: Election keeps one invariant: while the cell is vacant and this process neither owns it nor has retired, a campaign is scheduled or under way. Each change that may require a campaign ends with scheduleCampaign, and so does each answer of the watch, which comes at least every 2.5 s. The record of an ended ownership does not count as vacant; it is read until it is gone.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Election.java
@@ -16,6 +16,9 @@
 /**
  * Elects the owner of the cell: the process whose record the store holds under the owner's key. Watches the key, writes
  * it under a lease when it is absent, and renews the lease while this process is the owner.
+ *
+ * <p>Whenever the cell is vacant and this process neither owns it nor has retired, a campaign is scheduled or under way:
+ * each change that may have made this so ends with {@link #scheduleCampaign}, and so does each answer of the watch.
  */
 public final class Election {
 
@@ -24,8 +27,6 @@
     /** Bounds the time without an owner after a crash. Renewals are sent four times as often. */
     private static final Duration LEASE_DURATION = Duration.ofMillis(2_000);
 
-    private static final Duration LEASE_RENEWAL_INTERVAL = Duration.ofMillis(500);
-
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     /** Bounds one watch call, so that a connection that no longer answers is detected. */
@@ -49,11 +50,14 @@
     /** Version of the owner's key that this process wrote, 0 while it is not the owner. */
     private long ownedVersion;
 
+    /** Version of the record of an ended ownership that may still be under the owner's key; 0 if none may be. */
+    private long endedVersion;
+
     /**
-     * The lease under which this process's record hangs, null while it is not the owner. A claim under way has its own,
-     * as this process may accept a handover before the claim is answered.
+     * Renews the lease under which this process's record hangs. A claim under way has its own, as this process may accept a
+     * handover before the claim is answered.
      */
-    private String leaseId;
+    private final LeaseRenewal renewal;
 
     /** A lease under which the present owner may write this process's record; null if no handover is under way. */
     private String handoverLeaseId;
@@ -62,8 +66,6 @@
 
     private Instant confirmedAt = Instant.MIN;
 
-    private int renewalsInFlight;
-
     /** Calls sent before this time confirm nothing, as this process was suspended since. */
     private Instant suspendedUntil = Instant.MIN;
 
@@ -72,8 +74,11 @@
 
     private Duration roundTrip = Duration.ofMillis(50);
 
+    /** Whether a claim is under way, from the request of its lease until its outcome is known. */
     private boolean campaignRunning;
 
+    private boolean campaignScheduled;
+
     private boolean retired;
 
     private int failedCampaigns;
@@ -91,14 +96,17 @@
         this.listener = listener;
         this.campaignDelay = new CampaignDelay(self);
         this.formerOwnerTracker = new FormerOwnerTracker(self);
+        this.renewal = new LeaseRenewal(
+                context, this::recordConfirmation, () -> stepDown("the lease of the owner's key has ended"));
         this.watcher = new StoreWatcher(context, CellKeys.OWNER_PREFIX, MAX_WATCH_WAIT);
     }
 
     /** Starts to watch the owner's key and to campaign when it is absent. */
     public void start() {
         watcher.addListener(this::applyOwnerEntry);
+        watcher.addAnswerListener(() -> scheduleCampaign(campaignDelay()));
         watcher.start();
-        context.schedule(campaignDelay(), this::campaignIfVacant);
+        scheduleCampaign(campaignDelay());
     }
 
     /** Gives up the ownership, revokes its lease and does not campaign again. */
@@ -172,7 +180,7 @@
         confirmedAt = Instant.MIN;
         suspendedUntil = context.now();
         if (owning()) {
-            renew();
+            renewal.renew();
         }
     }
 
@@ -187,17 +195,18 @@
             return;
         }
         LOGGER.atWarning().log("event=deposed version=%d cause=\"%s\"", ownedVersion, cause);
-        if (ownerVersion == ownedVersion) {
+        long version = ownedVersion;
+        if (ownerVersion == version) {
             owner = Optional.empty();
+            endedVersion = version;
+            context.schedule(RETRY_DELAY, () -> readEndingRecord(version));
         }
         ownedVersion = 0;
         confirmedAt = Instant.MIN;
         formerOwnerTracker.reset();
-        revokeLease();
+        renewal.stop().ifPresent(this::revoke);
         listener.deposed(cause);
-        if (owner.isEmpty()) {
-            context.schedule(RETRY_DELAY, this::readOwner);
-        }
+        scheduleCampaign(campaignDelay());
     }
 
     /** Applies an entry that was read, before the watch has shown the changes up to it. */
@@ -207,15 +216,25 @@
         readAhead = false;
     }
 
-    /** Reads the owner's key until the store answers, and campaigns if the key is absent. */
-    private void readOwner() {
+    /** Returns whether the record of an ended ownership is the last one that was seen under the owner's key. */
+    private boolean endingRecordPresent() {
+        return owner.isEmpty() && endedVersion > 0 && endedVersion == ownerVersion;
+    }
+
+    /**
+     * Reads the owner's key until the store answers that it no longer holds the record of an ended ownership. The watch need
+     * not show the end of that record, as it may never have shown the record.
+     */
+    private void readEndingRecord(long version) {
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), result -> {
             if (result instanceof KeyValueResult.Found found) {
                 observe(found.entry());
             } else if (result instanceof KeyValueResult.Missing) {
-                campaignIfVacant();
-            } else {
-                context.schedule(RETRY_DELAY, this::readOwner);
+                endedVersion = endedVersion == version ? 0 : endedVersion;
+                campaign();
+            }
+            if (!result.answered() || endedVersion == version && endingRecordPresent()) {
+                context.schedule(RETRY_DELAY, () -> readEndingRecord(version));
             }
         });
     }
@@ -236,7 +255,7 @@
                 stepDown("the owner's key was removed");
             }
             listener.ownerChanged();
-            context.schedule(campaignDelay(), this::campaignIfVacant);
+            scheduleCampaign(campaignDelay());
             return;
         }
         OwnerRecord record = JsonCodec.compact().decode(entry.value(), OwnerRecord.class);
@@ -250,8 +269,8 @@
             acceptHandover(entry.version());
         }
         listener.ownerChanged();
-        if (isPredecessor(record)) {
-            campaignIfVacant();
+        if (record.replaceableBy(self)) {
+            campaign();
         }
     }
 
@@ -268,27 +287,37 @@
         }
     }
 
-    /**
-     * Returns whether an owner is a former process of this host. It has ended, as this process uses its address, so its
-     * key can be replaced before its lease expires.
-     */
-    private boolean isPredecessor(OwnerRecord record) {
-        return record.address().equals(self.address()) && !record.process().equals(self.process());
-    }
-
     private boolean vacant() {
-        return owner.isEmpty() || isPredecessor(owner.get());
+        return owner.map(record -> record.replaceableBy(self)).orElse(!endingRecordPresent());
     }
 
     private Duration campaignDelay() {
         return campaignDelay.of(roundTrip, ownerVersion);
     }
 
-    private void campaignIfVacant() {
-        if (retired || campaignRunning || owning() || !vacant() || !watcher.initialListReceived()) {
-            if (!retired && !watcher.initialListReceived()) {
-                context.schedule(RETRY_DELAY, this::campaignIfVacant);
-            }
+    private boolean campaignRequired() {
+        return !retired && !campaignRunning && !owning() && vacant();
+    }
+
+    /** Schedules a campaign if one is required and none is scheduled; the first one that was scheduled counts. */
+    private void scheduleCampaign(Duration delay) {
+        if (campaignScheduled || !campaignRequired()) {
+            return;
+        }
+        campaignScheduled = true;
+        context.schedule(delay, () -> {
+            campaignScheduled = false;
+            campaign();
+        });
+    }
+
+    /** Claims the cell if that is required at this time. */
+    private void campaign() {
+        if (!campaignRequired()) {
+            return;
+        }
+        if (!watcher.initialListReceived()) {
+            scheduleCampaign(RETRY_DELAY);
             return;
         }
         campaignRunning = true;
@@ -303,17 +332,21 @@
         }
         roundTrip = Duration.between(sentAt, context.now());
         if (retired || !vacant()) {
-            abandonCampaign(leased.leaseId(), retired ? "the process is stopping" : "another process was elected");
+            campaignRunning = false;
+            abandonClaim(leased.leaseId(), retired ? "the process is stopping" : "another process was elected");
             return;
         }
         OwnershipClaim claim = new OwnershipClaim(leased.leaseId(), context.now());
         long replacedVersion = owner.isPresent() ? ownerVersion : KeyValueRequest.ABSENT;
-        KeyValueRequest write = new KeyValueRequest.Transaction(
+        context.callStore(write(self, replacedVersion, claim.leaseId()), outcome -> applyClaimResult(outcome, claim));
+    }
+
+    private static KeyValueRequest write(OwnerRecord record, long replacedVersion, String lease) {
+        return new KeyValueRequest.Transaction(
                 List.of(new KeyValueRequest.Condition(CellKeys.OWNER, replacedVersion)),
                 List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(self), claim.leaseId())),
+                        CellKeys.OWNER, JsonCodec.compact().encode(record), lease)),
                 List.of());
-        context.callStore(write, outcome -> applyClaimResult(outcome, claim));
     }
 
     private void applyClaimResult(KeyValueResult result, OwnershipClaim claim) {
@@ -326,6 +359,7 @@
             campaignRunning = false;
             revoke(claim.leaseId());
             conflict.actual().forEach(this::observe);
+            scheduleCampaign(RETRY_DELAY);
             return;
         }
         context.callStore(new KeyValueRequest.Get(CellKeys.OWNER), read -> applyClaimRead(read, claim));
@@ -360,13 +394,6 @@
         return record.process().equals(self.process());
     }
 
-    private void revokeLease() {
-        if (leaseId != null) {
-            revoke(leaseId);
-            leaseId = null;
-        }
-    }
-
     private void revoke(String id) {
         context.callStore(
                 new KeyValueRequest.RevokeLease(id),
@@ -377,23 +404,23 @@
         campaignRunning = false;
         failedCampaigns++;
         LOGGER.atInfo().log("event=campaign_failed attempt=%d detail=\"%s\"", failedCampaigns, detail);
-        context.schedule(RETRY_DELAY, this::campaignIfVacant);
+        scheduleCampaign(RETRY_DELAY);
     }
 
-    private void abandonCampaign(String claimLeaseId, String detail) {
-        campaignRunning = false;
+    private void abandonClaim(String claimLeaseId, String detail) {
         LOGGER.atInfo().log("event=campaign_abandoned detail=\"%s\"", detail);
         revoke(claimLeaseId);
+        scheduleCampaign(RETRY_DELAY);
     }
 
     private void becomeOwner(long version, OwnershipClaim claim) {
         if (retired || version < ownerVersion) {
-            abandonCampaign(claim.leaseId(), retired ? "the process is stopping" : "the key has changed since");
+            abandonClaim(claim.leaseId(), retired ? "the process is stopping" : "the key has changed since");
             return;
         }
         // A claim may be carried out late, after a handover was accepted and its lease has ended.
         stepDown("a later claim of this process was carried out");
-        leaseId = claim.leaseId();
+        renewal.start(claim.leaseId());
         failedCampaigns = 0;
         ownedVersion = version;
         ownerVersion = Math.max(ownerVersion, version);
@@ -402,17 +429,6 @@
         LOGGER.atInfo().log("event=elected version=%d", version);
         listener.elected(version);
         reportFormerOwner();
-        scheduleRenewal(LEASE_RENEWAL_INTERVAL);
-    }
-
-    private void scheduleRenewal(Duration delay) {
-        long version = ownedVersion;
-        context.schedule(delay, () -> {
-            if (ownedVersion == version && owning()) {
-                renew();
-                scheduleRenewal(LEASE_RENEWAL_INTERVAL);
-            }
-        });
     }
 
     /**
@@ -429,7 +445,7 @@
 
     /** Revokes the lease of {@link #prepareHandover} after the owner has declined. */
     public void cancelHandover() {
-        if (handoverLeaseId != null && !handoverLeaseId.equals(leaseId)) {
+        if (handoverLeaseId != null && !renewal.renews(handoverLeaseId)) {
             revoke(handoverLeaseId);
         }
         handoverLeaseId = null;
@@ -447,15 +463,9 @@
             return;
         }
         long version = ownedVersion;
-        String ownLeaseId = leaseId;
-        leaseId = null;
+        String ownLeaseId = renewal.stop().orElseThrow();
         stepDown("handed over to " + successor.process());
-        KeyValueRequest write = new KeyValueRequest.Transaction(
-                List.of(new KeyValueRequest.Condition(CellKeys.OWNER, version)),
-                List.of(new KeyValueRequest.Write(
-                        CellKeys.OWNER, JsonCodec.compact().encode(successor), successorLeaseId)),
-                List.of());
-        context.callStore(write, result -> {
+        context.callStore(write(successor, version, successorLeaseId), result -> {
             LOGGER.atInfo().log("event=handed_over to=%s result=%s", successor.process(), result);
             revoke(ownLeaseId);
         });
@@ -467,33 +477,14 @@
         handoverLeaseId = null;
         becomeOwner(version, claim);
         if (owning()) {
-            renew();
+            renewal.renew();
         }
     }
 
     /** Asks the store at once to confirm the ownership, unless such a call is under way. */
     public void confirmSoon() {
-        if (owning() && renewalsInFlight == 0) {
-            renew();
+        if (owning()) {
+            renewal.renewSoon();
         }
     }
-
-    private void renew() {
-        long version = ownedVersion;
-        Instant sentAt = context.now();
-        renewalsInFlight++;
-        context.callStore(new KeyValueRequest.RenewLease(leaseId), result -> {
-            renewalsInFlight--;
-            if (ownedVersion != version) {
-                return;
-            }
-            if (result instanceof KeyValueResult.Leased) {
-                recordConfirmation(sentAt);
-            } else if (result instanceof KeyValueResult.LeaseEnded) {
-                stepDown("the lease of the owner's key has ended");
-            } else {
-                LOGGER.atWarning().log("event=renewal_unanswered result=%s", result);
-            }
-        });
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OwnerRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/OwnerRecord.java
@@ -17,4 +17,12 @@
         Objects.requireNonNull(process, "process");
         Objects.requireNonNull(address, "address");
     }
+
+    /**
+     * Returns whether this is a former process of a host. It has ended, as the present process uses its address, so its
+     * key can be replaced before its lease expires.
+     */
+    boolean replaceableBy(OwnerRecord present) {
+        return address.equals(present.address) && !process.equals(present.process);
+    }
 }
