Ignore an observed entry that a newer list contradicts

Cause: StoreWatcher.observe took an entry from the answer of another call into account although a list of a later revision had shown that the key was absent. If the watch had never shown the entry, the listeners took it for the present one, and no later answer showed that it had gone. A late refusal of a claim, or a late read after a step-down, so made a host believe in an owner that had ended, until a watch failed.

Change: observe ignores an entry that is not newer than the last list or watch, which is complete up to its revision.

Conclusion: the only caller of observe is Election. Without this the invariant of campaigns rests on an owner that may not exist.

--- a/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/kv/StoreWatcher.java
@@ -100,12 +100,13 @@
 
     /**
      * Takes an entry into account that another call has returned. Without it, a later list could not show that the key
-     * was deleted in the meantime.
+     * was deleted in the meantime. An entry that is not newer than the last list or watch is ignored: the listeners know
+     * it, or it was deleted or replaced before, which no later answer would show again.
      *
      * @param entry the entry, ignored if the watcher knows the same or a newer version of the key
      */
     public void observe(KeyValueEntry entry) {
-        if (entry.key().startsWith(prefix)) {
+        if (entry.key().startsWith(prefix) && entry.version() > revision) {
             applyEntry(entry);
         }
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionCampaignTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/ElectionCampaignTest.java
@@ -108,6 +108,38 @@
         expectNextClaimToWin(KeyValueRequest.ABSENT);
     }
 
+    /** A list shows that the other owner has gone before the refusal that names it arrives; no watch will show it again. */
+    @Test
+    void ownerNamedByALateRefusalIsNotTakenForThePresentOne() {
+        list(11, true);
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        grantLease("claim");
+        store.fail(KeyValueRequest.Watch.class);
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        list(20, true);
+        store.answer(
+                KeyValueRequest.Transaction.class,
+                new KeyValueResult.ConditionFailed(List.of(entry(OTHER, 13, "theirs"))));
+        assertThat(election.owner()).isEmpty();
+        expectNextClaimToWin(KeyValueRequest.ABSENT);
+    }
+
+    /** The same for the read of the key after a step-down. */
+    @Test
+    void formerRecordThatIsReadLateDoesNotKeepTheHostFromClaiming() {
+        becomeOwner();
+        store.fail(KeyValueRequest.Watch.class);
+        election.stepDown("unexpected error");
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        list(20, true);
+        store.answer(KeyValueRequest.Get.class, new KeyValueResult.Found(entry(SELF, 12, "claim")));
+        store.advance(LONGEST_CAMPAIGN_DELAY);
+        if (!store.pending(KeyValueRequest.Get.class).isEmpty()) {
+            store.answer(KeyValueRequest.Get.class, new KeyValueResult.Missing());
+        }
+        expectNextClaimToWin(KeyValueRequest.ABSENT);
+    }
+
     /** A predecessor's claim is carried out late, while this process claims the key; its record need not be awaited. */
     @Test
     void hostReplacesARecordOfItsPredecessorThatAppearsDuringAClaim() {
