Log and measure how long a host has known of no owner

Cause: jobs that are idle are logged by the owner alone. While the cell has none, no host said so, and no metric showed it.

Change: each host that has known of no owner for 3 s logs event=no_owner every 2 s; flamingopitch_time_without_owner_seconds is the time at once.

Conclusion: the host knows of an owner as last read, so that a cut-off host that goes on to believe in an owner logs nothing.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -119,6 +119,11 @@
             .help("Moves of long-running tasks that had to wait for other tasks of the step or for a worker.")
             .register(registry);
 
+    private final Gauge timeWithoutOwner = Gauge.builder()
+            .name("flamingopitch_time_without_owner_seconds")
+            .help("How long this host has known of no owner of the cell, 0 while it knows of one.")
+            .register(registry);
+
     private final Gauge longestIdleTime = Gauge.builder()
             .name("flamingopitch_longest_job_idle_seconds")
             .help("Longest time that an open job has had nothing at work although a task may start, on the owner.")
@@ -204,6 +209,11 @@
         deferredMoves.inc();
     }
 
+    @Override
+    public void recordTimeWithoutOwner(Duration time) {
+        timeWithoutOwner.set(seconds(time));
+    }
+
     @Override
     public void recordLongestIdleTime(Duration longest) {
         longestIdleTime.set(seconds(longest));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -52,6 +52,8 @@
 
     private final OwnershipRequester ownershipRequester;
 
+    private final NoOwnerLogger noOwnerLogger;
+
     /** When this process used its address already. */
     private Instant startedAt;
 
@@ -89,6 +91,7 @@
         this.timings = timings;
         this.election = new Election(context, self, this);
         this.ownershipRequester = new OwnershipRequester(context, election, ownerClient, self);
+        this.noOwnerLogger = new NoOwnerLogger(context.metrics());
         this.requestHandler = new CallerRequestHandler((request, timeout, handler) ->
                 new OwnerCall(context, this, ownerClient, request, timeout, handler).start());
     }
@@ -183,6 +186,8 @@
         if (!draining) {
             ownershipRequester.tick();
         }
+        boolean ownerKnown = ownedCell != null || election.owner().isPresent();
+        noOwnerLogger.update(ownerKnown, election.storeUnreachable(), draining, context.now());
     }
 
     private void flushBeforeGivingUp() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
@@ -63,4 +63,11 @@
      * @param longest the longest such time of all jobs, zero if none is long enough to be logged
      */
     default void recordLongestIdleTime(Duration longest) {}
+
+    /**
+     * Records how long this host has known of no owner of the cell.
+     *
+     * @param time the time, zero while an owner is known
+     */
+    default void recordTimeWithoutOwner(Duration time) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
@@ -18,6 +18,8 @@
 
     private Duration longestIdleTime = Duration.ZERO;
 
+    private Duration timeWithoutOwner = Duration.ZERO;
+
     List<MoveReason> moves() {
         return moves;
     }
@@ -35,6 +37,15 @@
         return longestIdleTime;
     }
 
+    Duration timeWithoutOwner() {
+        return timeWithoutOwner;
+    }
+
+    @Override
+    public void recordTimeWithoutOwner(Duration time) {
+        timeWithoutOwner = time;
+    }
+
     @Override
     public void recordLongestIdleTime(Duration longest) {
         longestIdleTime = longest;
