Keep the last worker open to idle jobs between turns of isolation

Cause: tasks that may have crashed two workers take turns in isolation. A turn takes 2 s. The next task reserved the worker during the turn, and isolated tasks are placed first in each pass, so that turns followed each other without a gap on every worker reserved for them. Two reservations at a time were within the limit, as the cell has more than ten workers, so that a lower limit alone did not help.

Change: before a turn or a reservation closes the last worker that is open to a waiting task of a job with nothing at work, the worker stays open for up to 500 ms. Draining, evacuated and quarantined workers and those without room or barred by the limit of tasks per worker do not count as open. A worker is not reserved during a turn. One suspect of each idle job has its turn first.

Conclusion: a job beside suspects waits for one turn at most. Not mended: the suspects themselves wait for their turns.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementPass.java
@@ -119,6 +119,11 @@
          * task, or null if there is none.
          */
         PlacementCandidate findBest(Task task) {
+            return findBest(task, worker -> true);
+        }
+
+        /** Returns the worker for the task, among those that are permitted, or null if there is none. */
+        PlacementCandidate findBest(Task task, Predicate<WorkerState> permitted) {
             int bestIndex = -1;
             double bestScore = PlacementPolicy.NOT_PERMITTED;
             for (int i = 0; i < scores.length; i++) {
@@ -132,7 +137,8 @@
                 if (scores[i] <= bestScore
                         || worker.reservedForOther(task, now)
                         || task.hasRunOn(worker)
-                        || !candidates.get(i).admits(task)) {
+                        || !candidates.get(i).admits(task)
+                        || !permitted.test(worker)) {
                     continue;
                 }
                 double score = scores[i] - PlacementPolicy.penalty(task, candidates.get(i));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskPlacer.java
@@ -4,8 +4,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.port.CellContext;
 import org.flamingopitch.scheduler.cell.speculation.CopyCapacity;
@@ -143,7 +148,7 @@
         PlacementPass pass = placementPolicy.startPass(
                 workerRegistry.workers(), worker -> usable(worker, now), rackWaits.preferredRacks(jobs.open()), now);
         rackWaits.startPass(pass, this::answering, now);
-        placeInIsolation(pass, now);
+        placeInIsolation(pass, timeOfDayMillis, now);
         bestEffortPreemption.startPass(worker -> usable(worker, now), now);
         for (Job job : queueOrder.sort(waiting, now)) {
             placeJob(job, timeOfDayMillis, failures, pass, now);
@@ -314,20 +319,40 @@
     }
 
     /** Places the tasks that may have crashed several workers, and reserves workers for those that find none. */
-    private void placeInIsolation(PlacementPass pass, Instant now) {
-        for (Task task : crashAttribution.tasksAwaitingIsolation(now)) {
+    private void placeInIsolation(PlacementPass pass, long timeOfDayMillis, Instant now) {
+        List<Task> tasks = crashAttribution.tasksAwaitingIsolation(now);
+        if (tasks.isEmpty()) {
+            isolationPlanner.reset();
+            return;
+        }
+        Predicate<WorkerState> usable = worker -> usable(worker, now);
+        Set<Job> idleJobs = jobs.open().stream()
+                .filter(job -> IdleJob.of(job, this::answering, now, timeOfDayMillis, now) != null)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+        isolationPlanner.startPass(waitingSteps(idleJobs, timeOfDayMillis, now), workerRegistry.workers(), usable, now);
+        for (Task task : IsolationPlanner.order(tasks, idleJobs::contains)) {
             PlacementPass.Search search = pass.search(task.step());
-            PlacementCandidate candidate = search.findBest(task);
+            PlacementCandidate candidate = search.findBest(
+                    task, worker -> worker.reservedFor(now) == task || isolationPlanner.mayClose(worker, now));
             if (candidate == null) {
-                isolationPlanner.reserve(task, workerRegistry.workers(), worker -> usable(worker, now), now);
+                isolationPlanner.reserve(task, workerRegistry.workers(), usable, now);
                 tasksWaiting = true;
             } else {
                 place(task, candidate, now);
+                isolationPlanner.onClosed(candidate.worker());
                 search.onPlaced(candidate);
             }
         }
     }
 
+    private static List<Step> waitingSteps(Collection<Job> jobs, long timeOfDayMillis, Instant now) {
+        return jobs.stream()
+                .flatMap(job -> job.occurrences().stream())
+                .flatMap(List::stream)
+                .filter(step -> !step.done() && step.ready(timeOfDayMillis) && step.waitingCount(now) > 0)
+                .toList();
+    }
+
     private void requestCapacity(Task task, Instant now) {
         if (task.step().spec().lasting()) {
             preemptionPlanner
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IsolationPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IsolationPlannerTest.java
@@ -5,15 +5,21 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
+import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests which workers are reserved for tasks that may be started only in isolation. */
 final class IsolationPlannerTest {
 
     private final Instant now = OwnerFixtures.NOW;
 
-    private final PlacementPolicy placementPolicy =
-            new PlacementPolicy(new WorkerHealth(), new InterferenceEstimator());
+    private final WorkerHealth health = new WorkerHealth();
+
+    private final PlacementPolicy placementPolicy = new PlacementPolicy(health, new InterferenceEstimator());
 
     private final IsolationPlanner planner = new IsolationPlanner(placementPolicy);
 
@@ -78,4 +84,86 @@
         worker.reserveFor(OwnerFixtures.task(job), now.plusSeconds(6));
         assertThat(worker.reservedFor(now)).isNull();
     }
+
+    private enum Limit {
+        QUARANTINE,
+        ANTI_AFFINITY,
+        CAPACITY,
+        ISOLATION
+    }
+
+    /** Keeps the tasks of the step off a worker. */
+    private void exclude(WorkerState excluded, Step step, Limit limit) {
+        switch (limit) {
+            case QUARANTINE -> health.quarantine(excluded.id(), now);
+            case ANTI_AFFINITY -> excluded.add(step.tasks().get(1).place(excluded, now));
+            case CAPACITY ->
+                excluded.add(OwnerFixtures.task(OwnerFixtures.job("00000000000000cc", lasting(4_000), now))
+                        .place(excluded, now));
+            case ISOLATION -> excluded.reserveFor(suspectSubmittedAt(now), now.plusSeconds(6));
+            default -> throw new IllegalArgumentException(limit.name());
+        }
+    }
+
+    private static StepSpec lasting(long milliCores) {
+        return OwnerFixtures.latencyCriticalStep("s", milliCores, 10);
+    }
+
+    private Step idleStep() {
+        StepSpec spec = new StepSpecBuilder()
+                .count(2)
+                .demand(new Resources(1_000, 10, 0))
+                .estimateMillis(1_000)
+                .maxPerWorker(1)
+                .build();
+        return OwnerFixtures.job("00000000000000ee", spec, now).step(0, 0);
+    }
+
+    /** Without the gap the isolated tasks follow each other there, and the job waits for the last of them. */
+    @ParameterizedTest
+    @EnumSource(Limit.class)
+    void lastWorkerThatIsOpenToAnIdleJobStaysOpenForAShortTime(Limit limit) {
+        WorkerState other = OwnerFixtures.worker("v", 4_000);
+        List<WorkerState> workers = List.of(worker, other);
+        Step idle = idleStep();
+        exclude(other, idle, limit);
+        planner.startPass(List.of(idle), workers, each -> true, now);
+        assertThat(planner.mayClose(worker, now)).isFalse();
+        Instant later = now.plusMillis(500);
+        planner.startPass(List.of(idle), workers, each -> true, later);
+        assertThat(planner.mayClose(worker, later)).isTrue();
+    }
+
+    @Test
+    void workerIsClosedAtOnceIfAnotherOneIsOpenToTheIdleJob() {
+        WorkerState other = OwnerFixtures.worker("v", 4_000);
+        planner.startPass(List.of(idleStep()), List.of(worker, other), each -> true, now);
+        assertThat(planner.mayClose(worker, now)).isTrue();
+        planner.onClosed(other);
+        assertThat(planner.mayClose(worker, now)).isFalse();
+    }
+
+    /** A reservation during the turn of a task would leave no gap after it. */
+    @Test
+    void workerIsNotReservedDuringTheTurnOfATask() {
+        Task running = suspectSubmittedAt(now);
+        worker.add(running.place(worker, now));
+        planner.reserve(suspectSubmittedAt(now), List.of(worker), each -> true, now);
+        assertThat(worker.reservedFor(now)).isNull();
+    }
+
+    /** One task at work is enough for a job, so that its other tasks do not delay other jobs. */
+    @Test
+    void oneTaskOfEachIdleJobHasItsTurnFirst() {
+        Job idle = OwnerFixtures.job("00000000000000a1", OwnerFixtures.rackStep(2, 1_000, 1_000, null, false), now);
+        Job otherIdle =
+                OwnerFixtures.job("00000000000000a2", OwnerFixtures.rackStep(1, 1_000, 1_000, null, false), now);
+        Job served = OwnerFixtures.job("00000000000000a3", OwnerFixtures.rackStep(1, 1_000, 1_000, null, false), now);
+        Task first = idle.step(0, 0).tasks().get(0);
+        Task second = idle.step(0, 0).tasks().get(1);
+        Task ofServed = OwnerFixtures.task(served);
+        Task ofOther = OwnerFixtures.task(otherIdle);
+        assertThat(IsolationPlanner.order(List.of(ofServed, first, second, ofOther), job -> job != served))
+                .containsExactly(first, ofOther, ofServed, second);
+    }
 }
