Log and measure how much of a service's reserved processor time is running

Cause: an idle job is started only below one half of a service reserved, but the platform counts what is in use. Nothing showed how far the two differ.

Change: job_idle has running_cores beside reserved_cores: the part whose runs the workers have by their last answers, over all registered workers of the service, without runs that are planned or not reported. The metric flamingopitch_service_cores has total, reserved and running of each service.

Conclusion: no decision is changed.

--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/CellMetrics.java
@@ -11,12 +11,15 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
+import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
 
 /** Records the metrics of a {@link CellHost} and writes them in the Prometheus text format. */
@@ -24,6 +27,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private static final double MILLICORES_PER_CORE = 1e3;
+
     /** Queues of this and lower priorities share a label, so that the number of labels is bounded. */
     private static final int LAST_PRIORITY_LABEL = 9;
 
@@ -124,6 +129,12 @@
             .help("Longest time that an open job has had nothing at work although a task may start, on the owner.")
             .register(registry);
 
+    private final Gauge serviceCores = Gauge.builder()
+            .name("flamingopitch_service_cores")
+            .help("Processor time of the registered workers of a service, on the owner: total, reserved and running.")
+            .labelNames("service", "part")
+            .register(registry);
+
     /**
      * Creates the metrics.
      *
@@ -209,6 +220,20 @@
         longestIdleTime.set(seconds(longest));
     }
 
+    @Override
+    public void recordServiceCores(List<ServiceCores> services) {
+        serviceCores.clear();
+        for (ServiceCores each : services) {
+            setServiceCores(each.service(), "total", each.total());
+            setServiceCores(each.service(), "reserved", each.reserved());
+            setServiceCores(each.service(), "running", each.running());
+        }
+    }
+
+    private void setServiceCores(ServiceName service, String part, long milliCores) {
+        serviceCores.labelValues(service.value(), part).set(milliCores / MILLICORES_PER_CORE);
+    }
+
     void updateGauges(boolean ownsCell, int openJobCount, int evacuatedDataCentreCount) {
         owner.set(ownsCell ? 1 : 0);
         openJobs.set(openJobCount);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -167,6 +167,7 @@
         pendingAnswers.close();
         unconfirmedRequests.close();
         context.metrics().recordLongestIdleTime(Duration.ZERO);
+        context.metrics().recordServiceCores(List.of());
     }
 
     /**
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
@@ -7,16 +7,18 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.function.ToLongFunction;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 
 /**
  * Logs jobs that have been idle for {@link IdleJob#NOTICEABLE_TIME}: what their task needs, and how many workers each {@link
- * PlacementObstacle} excludes. Measures the longest idle time.
+ * PlacementObstacle} excludes. Measures the longest idle time, and how much of each service is
+ * reserved and in use.
  */
 final class IdleJobLogger {
 
@@ -71,6 +73,8 @@
             }
         }
         idleJobs.sort(Comparator.comparing(IdleJob::time).reversed());
+        Map<ServiceName, ServiceCores> services = ServiceLoad.cores(workers);
+        metrics.recordServiceCores(List.copyOf(services.values()));
         metrics.recordLongestIdleTime(
                 idleJobs.isEmpty() ? Duration.ZERO : idleJobs.get(0).time());
         if (idleJobs.isEmpty()) {
@@ -79,23 +83,24 @@
         PlacementObstacleCounter obstacles =
                 new PlacementObstacleCounter(placementPolicy, workers, workerObstacle, now);
         for (IdleJob idle : idleJobs.subList(0, Math.min(MAX_LINES, idleJobs.size()))) {
-            log(idle, idleJobs.size(), workers, mayPlace, obstacles, now);
+            ServiceName service = idle.task().job().queue().service();
+            ServiceCores cores = services.getOrDefault(service, new ServiceCores(service, 0, 0, 0));
+            log(idle, idleJobs.size(), cores, mayPlace, obstacles, now);
         }
     }
 
     private static void log(
             IdleJob idle,
             int idleJobs,
-            Collection<WorkerState> workers,
+            ServiceCores cores,
             boolean mayPlace,
             PlacementObstacleCounter obstacles,
             Instant now) {
         Job job = idle.task().job();
         StepSpec step = idle.task().step().spec();
-        ServiceName service = job.queue().service();
         LOGGER.atInfo().log(
                 "event=job_idle job=%s task=%s idle_ms=%d idle_jobs=%d state=%s kind=%s cores=%.1f memory=%d "
-                        + "accelerators=%d label=%s width=%d reserved_cores=%d cores_total=%d expired=%s placing=%s%s %s",
+                        + "accelerators=%d label=%s width=%d reserved_cores=%d running_cores=%d cores_total=%d expired=%s placing=%s%s %s",
                 job.id(),
                 idle.task().ref(),
                 idle.time().toMillis(),
@@ -107,8 +112,9 @@
                 step.demand().accelerators(),
                 step.requiredLabel() == null ? "none" : step.requiredLabel(),
                 step.count(),
-                sumCores(workers, service, worker -> worker.reserved().milliCores()),
-                sumCores(workers, service, worker -> worker.entry().capacity().milliCores()),
+                cores.reserved() / MILLICORES_PER_CORE,
+                cores.running() / MILLICORES_PER_CORE,
+                cores.total() / MILLICORES_PER_CORE,
                 job.expired(now),
                 mayPlace,
                 idle.runFields(),
@@ -121,16 +127,4 @@
         }
         return step.fills() ? "best_effort" : "short";
     }
-
-    /** Sums over the registered workers of a service, usable or not. */
-    private static long sumCores(
-            Collection<WorkerState> workers, ServiceName service, ToLongFunction<WorkerState> milliCores) {
-        long sum = 0;
-        for (WorkerState worker : workers) {
-            if (worker.registered() && worker.entry().service().equals(service)) {
-                sum += milliCores.applyAsLong(worker);
-            }
-        }
-        return sum / MILLICORES_PER_CORE;
-    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ServiceLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ServiceLoad.java
@@ -1,9 +1,13 @@
 package org.flamingopitch.scheduler.cell.owner;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.flamingopitch.scheduler.cell.model.ServiceName;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 
 /** Determines whether so much of a service is reserved that a job may wait although it has nothing at work. */
 final class ServiceLoad {
@@ -27,6 +31,30 @@
         return high(service, usable) && high(service, running) && high(service, pass.workers());
     }
 
+    /** Returns the processor time of each service that has a registered worker, ordered by the service's name. */
+    static Map<ServiceName, ServiceCores> cores(Collection<WorkerState> workers) {
+        Map<ServiceName, ServiceCores> services = new TreeMap<>(Comparator.comparing(ServiceName::value));
+        for (WorkerState worker : workers) {
+            if (worker.registered()) {
+                ServiceCores cores = new ServiceCores(
+                        worker.entry().service(),
+                        worker.entry().capacity().milliCores(),
+                        worker.reserved().milliCores(),
+                        worker.runningMilliCores());
+                services.merge(cores.service(), cores, ServiceLoad::sum);
+            }
+        }
+        return services;
+    }
+
+    private static ServiceCores sum(ServiceCores first, ServiceCores second) {
+        return new ServiceCores(
+                first.service(),
+                first.total() + second.total(),
+                first.reserved() + second.reserved(),
+                first.running() + second.running());
+    }
+
     private static boolean high(ServiceName service, Collection<WorkerState> workers) {
         long capacity = 0;
         long reserved = 0;
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -434,6 +434,21 @@
         return reserved;
     }
 
+    /**
+     * Returns the processor time reserved by runs that the worker has, as far as its last answers show: without those
+     * that are planned, or started without an answer or a report since.
+     */
+    long runningMilliCores() {
+        long sum = 0;
+        for (Run run : runs) {
+            boolean stopping = run.phase() == RunPhase.STOPPING && run.confirmed();
+            if (stopping || run.phase() == RunPhase.RUNNING) {
+                sum += run.task().step().spec().reserved().milliCores();
+            }
+        }
+        return sum;
+    }
+
     long bestEffortMilliCores() {
         return bestEffortMilliCores;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.cell.port;
 
 import java.time.Duration;
+import java.util.List;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
@@ -63,4 +64,11 @@
      * @param longest the longest such time of all jobs, zero if none is long enough to be logged
      */
     default void recordLongestIdleTime(Duration longest) {}
+
+    /**
+     * Records how much of each service is reserved and how much of that is in use; replaces all values before.
+     *
+     * @param services the services that have a registered worker, empty on a host that no longer owns the cell
+     */
+    default void recordServiceCores(List<ServiceCores> services) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobLogSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobLogSessionTest.java
@@ -63,9 +63,11 @@
     @Test
     void formerOwnerMeasuresNoIdleTime() {
         assertThat(session.metrics().longestIdleTime()).isPositive();
+        assertThat(session.metrics().serviceCores()).hasSize(1);
         session.node("h1").drain();
         session.advance(Duration.ofSeconds(1));
         assertThat(session.node("h1").ownsCell()).isFalse();
         assertThat(session.metrics().longestIdleTime()).isZero();
+        assertThat(session.metrics().serviceCores()).isEmpty();
     }
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/RecordedMetrics.java
@@ -6,6 +6,7 @@
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 
 /** Records what the owners of a simulated cell measure. */
 final class RecordedMetrics implements OwnerMetrics {
@@ -18,6 +19,8 @@
 
     private Duration longestIdleTime = Duration.ZERO;
 
+    private List<ServiceCores> serviceCores = List.of();
+
     List<MoveReason> moves() {
         return moves;
     }
@@ -40,6 +43,15 @@
         longestIdleTime = longest;
     }
 
+    List<ServiceCores> serviceCores() {
+        return serviceCores;
+    }
+
+    @Override
+    public void recordServiceCores(List<ServiceCores> services) {
+        serviceCores = services;
+    }
+
     @Override
     public void recordMove(MoveReason reason) {
         moves.add(reason);
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IdleJobLoggerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IdleJobLoggerTest.java
@@ -12,6 +12,7 @@
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -77,10 +78,33 @@
         log(LATER, job("j", step(9).estimateMillis(1_000).requiredLabel("gpu").build(), NOW));
         assertThat(log.lines())
                 .containsExactly("event=job_idle job=j task=j.0.0.0 idle_ms=3000 idle_jobs=1 state=waiting kind=short "
-                        + "cores=2.0 memory=10 accelerators=0 label=gpu width=9 reserved_cores=4 cores_total=32 "
+                        + "cores=2.0 memory=10 accelerators=0 label=gpu width=9 reserved_cores=4 running_cores=4 cores_total=32 "
                         + "expired=false placing=true not_answering=1 not_permitted=1");
     }
 
+    /** The platform counts what is in use; without the difference nobody can tell whether it saw the service as full. */
+    @Test
+    void coresOfRunsThatNoAnswerHasShownAreNotInUse() {
+        OwnerFixtures.run(startedTask("running", 1_000), worker, 16);
+        OwnerFixtures.run(startedTask("silent", 2_000), silent, 16);
+        OwnerFixtures.run(startedTask("stopping", 3_000), worker, 16).enterPhase(RunPhase.STOPPING, NOW);
+        worker.add(startedTask("planned", 4_000).place(worker, NOW));
+        Run sent = startedTask("sent", 5_000).place(worker, NOW);
+        worker.add(sent);
+        sent.enterPhase(RunPhase.SENT, NOW);
+        log(LATER, idleJob());
+        assertThat(log.lines())
+                .singleElement()
+                .asString()
+                .contains(" reserved_cores=15 running_cores=6 cores_total=32 ");
+        assertThat(metrics.services)
+                .containsExactly(new ServiceCores(OwnerFixtures.queue().service(), 32_000, 15_000, 6_000));
+    }
+
+    private static Task startedTask(String id, long milliCores) {
+        return OwnerFixtures.task(job(id, OwnerFixtures.latencyCriticalStep("s", milliCores, 40), NOW));
+    }
+
     @Test
     void kindsOfTasksAreToldApart() {
         log(
@@ -255,9 +279,16 @@
 
         private Duration longest;
 
+        private List<ServiceCores> services = List.of();
+
         @Override
         public void recordLongestIdleTime(Duration newLongest) {
             longest = newLongest;
         }
+
+        @Override
+        public void recordServiceCores(List<ServiceCores> newServices) {
+            services = newServices;
+        }
     }
 }
