Count only what workers have as the load that lets a job wait

Cause: ServiceLoad summed what is reserved, also for runs that are being stopped and that no worker ever had, or that were placed long ago and never reported. The platform counts what is in use. A job without anything at work then waited in a service with less than half in use.

Change: a run counts if its worker has it by its last answers, or if it was placed less than the 2 s ago after which a job counts as idle. The latter keeps slow tasks off a service whose tasks are just restarting; IdleRackWaitTest.jobWaitsInALoadedCell fails without it.

Result: StarvedBestEffortTaskTest.taskDoesNotWaitForTheEndOfRunsThatNoWorkerHas and both cases of StarvedTaskPlannerTest .jobIsSelectedIfOnlyRunsThatNoWorkerHasMakeTheServiceLookLoaded fail with reservations counted and pass now. jobWaitsWhileRunsThatWereJustPlacedMakeThe ServiceLoaded and jobWaitsWhileRunsThatAreBeingStoppedKeepTheServiceLoaded guard the other side.

Runs that are refused and placed again every 2 s still count.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RackWaitPlanner.java
@@ -463,7 +463,7 @@
                     .orElse(waitSince);
             return waitUntil.isAfter(idleSince.plus(IdleJob.NOTICEABLE_TIME))
                     && !loadedServices.computeIfAbsent(
-                            step.job().queue().service(), service -> ServiceLoad.high(service, pass, answering));
+                            step.job().queue().service(), service -> ServiceLoad.high(service, pass, answering, now));
         }
 
         /** Returns which workers of the rack may run the tasks, or empty if all may. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -154,6 +154,11 @@
         return confirmed;
     }
 
+    /** Returns whether the worker has the run, as far as its last answers show. */
+    boolean shownByWorker() {
+        return phase == RunPhase.RUNNING || phase == RunPhase.STOPPING && confirmed;
+    }
+
     void markConfirmed() {
         confirmed = true;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -75,7 +75,7 @@
                 stillServed.add(job.id());
             }
             boolean loaded = loadedServices.computeIfAbsent(
-                    job.queue().service(), service -> ServiceLoad.high(service, pass, answering));
+                    job.queue().service(), service -> ServiceLoad.high(service, pass, answering, now));
             if (!loaded && mayStart(job, now) && (served || idleForLong(job, timeOfDayMillis, now))) {
                 selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
             }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -441,8 +441,7 @@
     long runningMilliCores() {
         long sum = 0;
         for (Run run : runs) {
-            boolean stopping = run.phase() == RunPhase.STOPPING && run.confirmed();
-            if (stopping || run.phase() == RunPhase.RUNNING) {
+            if (run.shownByWorker()) {
                 sum += run.task().step().spec().reserved().milliCores();
             }
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -16,6 +16,7 @@
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
 import org.flamingopitch.scheduler.cell.model.TaskRef;
+import org.flamingopitch.scheduler.cell.port.ServiceCores;
 import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -213,6 +214,46 @@
         assertThat(session.running(HEAVY_JOB)).isEmpty();
     }
 
+    /** The platform counts what is in use; runs that are being stopped and that no worker ever had hid this. */
+    @Test
+    void taskDoesNotWaitForTheEndOfRunsThatNoWorkerHas() {
+        startLatencyCriticalTasks(5_000);
+        reserveForRunsThatNeverStart();
+        submitHeavyJob();
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.running(HEAVY_JOB)).hasSize(1);
+        session.advance(Duration.ofSeconds(1));
+        ServiceCores cores = session.metrics().serviceCores().get(0);
+        assertThat(cores.reserved()).isEqualTo(40_000);
+        assertThat(cores.running()).isEqualTo(20_000);
+        assertThat(cores.total()).isEqualTo(64_000);
+    }
+
+    /**
+     * Leaves 10 more cores, and nearly all memory, reserved on each of two workers that answer polls, but receive neither
+     * starts nor stops.
+     */
+    private void reserveForRunsThatNeverStart() {
+        for (String name : List.of("w0", "w1")) {
+            session.worker(name).setRack("r2");
+            session.worker(name).setStartsLost(true);
+            session.worker(name).setStopsLost(true);
+        }
+        session.advance(Duration.ofSeconds(1));
+        StepSpec step = new StepSpecBuilder()
+                .count(2)
+                .demand(new Resources(10_000, 99_850, 0))
+                .lasting(true)
+                .image("batch")
+                .requiredLabel("r2")
+                .build();
+        String path = "/q/00000000000000cc";
+        session.call("h1", new CallerOperation.Submit(new JobSpec("work", List.of(step), 0, 0, 0)), path);
+        session.advance(Duration.ofMillis(500));
+        session.call("h1", new CallerOperation.Cancel(), path);
+        session.advance(Duration.ofMillis(500));
+    }
+
     @Test
     void taskWaitsIfTheGateIsOff() {
         session.setGates(FeatureGates.without(FeatureGate.SLOW_STARTS));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -8,6 +8,8 @@
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A slow start must be limited to jobs that would wait for good, or it takes the headroom of others. */
 final class StarvedTaskPlannerTest {
@@ -265,6 +267,38 @@
                 .hasSize(1);
     }
 
+    /** A run reserves its worker before and after it is there; the platform counts only what the worker has. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RunPhase.class,
+            names = {"PLANNED", "SENT"})
+    void jobIsSelectedIfOnlyRunsThatNoWorkerHasMakeTheServiceLookLoaded(RunPhase phase) {
+        reserve(7_900);
+        Task task = OwnerFixtures.task(OwnerFixtures.job("p", OwnerFixtures.latencyCriticalStep("s", 8_000, 10), now));
+        Run run = task.place(worker, now.minus(LONG));
+        worker.add(run);
+        run.enterPhase(phase, now.minus(LONG));
+        assertThat(select(job(LONG))).hasSize(1);
+    }
+
+    /** While the tasks of a loaded service restart, their capacity is not free for slow tasks. */
+    @Test
+    void jobWaitsWhileRunsThatWereJustPlacedMakeTheServiceLoaded() {
+        reserve(7_900);
+        Job restarting = OwnerFixtures.job("p", OwnerFixtures.latencyCriticalStep("s", 8_000, 10), now);
+        worker.add(OwnerFixtures.task(restarting).place(worker, now.minusMillis(1_900)));
+        assertThat(select(job(LONG))).isEmpty();
+    }
+
+    /** What is being stopped still uses its worker. */
+    @Test
+    void jobWaitsWhileRunsThatAreBeingStoppedKeepTheServiceLoaded() {
+        reserve(7_900);
+        Job stopping = OwnerFixtures.job("p", OwnerFixtures.latencyCriticalStep("s", 8_000, 10), now);
+        OwnerFixtures.run(OwnerFixtures.task(stopping), worker, 5).enterPhase(RunPhase.STOPPING, now);
+        assertThat(select(job(LONG))).isEmpty();
+    }
+
     @Test
     void workerWithAnotherSlowTaskIsChosenIfThereIsNoOther() {
         OwnerFixtures.run(OwnerFixtures.task(job(LONG)), worker, 1).markSlowStart();
