--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/OwnerMetrics.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.cell.port;
 
 import java.time.Duration;
+import java.util.List;
 import org.flamingopitch.scheduler.cell.disruption.MoveReason;
 import org.flamingopitch.scheduler.cell.locality.RackWaitOutcome;
 import org.flamingopitch.scheduler.cell.speculation.CopyOutcome;
@@ -70,4 +71,11 @@
      * @param time the time, zero while an owner is known
      */
     default void recordTimeWithoutOwner(Duration time) {}
+
+    /**
+     * Records how much of each service is reserved and how much of that is in use; replaces all values before.
+     *
+     * @param services the services that have a registered worker, empty on a host that no longer owns the cell
+     */
+    default void recordServiceCores(List<ServiceCores> services) {}
 }
