Accept a list of machines that lacks only workers which have just begun to answer

Cause: a listing that lacked one registered worker which answers was rejected as a whole. While workers are added or replaced all the time and the list is 0.8 s late, that is each listing, so that no worker is ever proved to have ended and its runs count as open until 10.4 s after the election. Besides, a rejected listing was forgotten also where it had the silent worker: the two listings around it proved the end of a worker that ran.

Change: a worker whose entry appeared within the last second before the request, and after the owner's first list of entries, may be absent from one listing; the next sound one must have it, or the first proves nothing (event=live_workers_doubted). Any other worker that answers and is absent makes the listing partial as before. A listing without any older worker that answers proves nothing. A worker that any listing has, also a partial one, starts its count anew.

Conclusion: a page that two listings lack and on which nothing but silent workers runs cannot be told from workers that have ended; that the platform lists each machine stays trusted there. A worker that died after it had answered still voids listings until it no longer answers or is no longer registered.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.port.CellContext;
@@ -32,12 +35,20 @@
      */
     private static final Duration LISTING_INTERVAL = Duration.ofMillis(1_000);
 
+    /**
+     * A worker whose entry appeared within this time before the request may be absent from a sound listing, which may be
+     * about 0.8 s late. Not longer than {@link #LISTING_INTERVAL}, so that no worker may be absent from two.
+     */
+    private static final Duration MAX_LISTING_LAG = Duration.ofMillis(1_000);
+
     private final CellContext context;
 
     private final Collection<WorkerState> workers;
 
     private final Predicate<WorkerState> answering;
 
+    private final Function<WorkerState, Instant> knownSince;
+
     private final Consumer<WorkerState> endHandler;
 
     /** When the next listing may be requested; null before the first tick. */
@@ -47,24 +58,30 @@
 
     private boolean closed;
 
-    /** The silent workers that the last complete listing did not contain. */
-    private Set<WorkerId> unlisted = Set.of();
+    /** The silent workers that the last sound listing did not contain, and no listing since. */
+    private final Set<WorkerId> unlisted = new HashSet<>();
+
+    /** The young workers that the last sound listing did not contain, and no listing since. */
+    private final Set<WorkerId> late = new HashSet<>();
 
     /**
      * Creates a detector.
      *
      * @param workers a view of all workers
      * @param answering whether the last call to a worker was answered
+     * @param knownSince since when the present life of a registered worker is known to any owner
      * @param endHandler receives each worker whose process has ended
      */
     EndedWorkerDetector(
             CellContext context,
             Collection<WorkerState> workers,
             Predicate<WorkerState> answering,
+            Function<WorkerState, Instant> knownSince,
             Consumer<WorkerState> endHandler) {
         this.context = context;
         this.workers = workers;
         this.answering = answering;
+        this.knownSince = knownSince;
         this.endHandler = endHandler;
     }
 
@@ -90,26 +107,47 @@
         source.list(listing -> {
             callInFlight = false;
             if (!closed) {
-                apply(listing);
+                apply(listing, now);
             }
         });
     }
 
-    private void apply(LiveWorkerListing listing) {
+    private void apply(LiveWorkerListing listing, Instant requestedAt) {
         if (listing instanceof LiveWorkerListing.Unavailable unavailable) {
             LOGGER.atWarning().log("event=live_workers_unavailable failure=\"%s\"", unavailable.failure());
             return;
         }
         Set<WorkerId> live = ((LiveWorkerListing.Listed) listing).workers();
-        if (!containsAllThatAnswer(live)) {
-            LOGGER.atWarning().log("event=live_workers_incomplete live_workers=%d", live.size());
+        unlisted.removeAll(live);
+        late.removeAll(live);
+        Instant youngSince = requestedAt.minus(MAX_LISTING_LAG);
+        Map<Boolean, List<WorkerId>> witnesses = witnesses(youngSince);
+        List<WorkerId> old = witnesses.get(false);
+        if (old.isEmpty() || !live.containsAll(old)) {
+            LOGGER.atWarning().log(
+                    "event=live_workers_incomplete live_workers=%d answering=%d absent=%d",
+                    live.size(),
+                    old.size(),
+                    old.stream().filter(worker -> !live.contains(worker)).count());
             return;
         }
+        if (!late.isEmpty()) {
+            // A listing that was only late would be followed by one with these workers, so the last one was partial.
+            LOGGER.atWarning().log("event=live_workers_doubted late=%d", late.size());
+            unlisted.clear();
+            late.clear();
+        }
+        witnesses.get(true).stream().filter(worker -> !live.contains(worker)).forEach(late::add);
+        endAbsentWorkers(live);
+    }
+
+    private void endAbsentWorkers(Set<WorkerId> live) {
         List<WorkerState> absent = silentWorkers().stream()
                 .filter(worker -> !live.contains(worker.id()))
                 .toList();
-        Set<WorkerId> absentBefore = unlisted;
-        unlisted = absent.stream().map(WorkerState::id).collect(Collectors.toUnmodifiableSet());
+        Set<WorkerId> absentBefore = Set.copyOf(unlisted);
+        unlisted.clear();
+        absent.forEach(worker -> unlisted.add(worker.id()));
         for (WorkerState worker : absent) {
             if (absentBefore.contains(worker.id())) {
                 LOGGER.atWarning().log(
@@ -121,12 +159,17 @@
         }
     }
 
-    /** Returns whether a listing has all registered workers that answer this owner; one without them lacks others too. */
-    private boolean containsAllThatAnswer(Set<WorkerId> live) {
+    /**
+     * Returns the registered workers that answer this owner, by whether they are so young that a listing may lack them. A
+     * listing that lacks any other one is partial, and so may lack workers that are silent and run on.
+     */
+    private Map<Boolean, List<WorkerId>> witnesses(Instant youngSince) {
         return workers.stream()
                 .filter(worker -> worker.registered() && !worker.missingFor(Duration.ZERO, context.now()))
                 .filter(answering)
-                .allMatch(worker -> live.contains(worker.id()));
+                .collect(Collectors.partitioningBy(
+                        worker -> knownSince.apply(worker).isAfter(youngSince),
+                        Collectors.mapping(WorkerState::id, Collectors.toList())));
     }
 
     private List<WorkerState> silentWorkers() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -63,7 +63,8 @@
     /** The worker that last answered at an address. */
     private final Map<String, WorkerState> addressHolders = new HashMap<>();
 
-    private boolean listed;
+    /** When the entries of the workers were first listed; null before. */
+    private Instant firstListedAt;
 
     private boolean closed;
 
@@ -86,8 +87,8 @@
         this.formerLeaseExpiry = formerLeaseExpiry;
         this.evacuations = evacuations;
         this.listener = listener;
-        this.endedWorkerDetector =
-                new EndedWorkerDetector(context, workers.values(), this::answering, this::endRunsOfEndedWorker);
+        this.endedWorkerDetector = new EndedWorkerDetector(
+                context, workers.values(), this::answering, this::knownSince, this::endRunsOfEndedWorker);
     }
 
     void start() {
@@ -101,7 +102,7 @@
 
     /** Returns whether the workers have been listed at least once. */
     boolean listed() {
-        return listed;
+        return firstListedAt != null;
     }
 
     Collection<WorkerState> workers() {
@@ -127,6 +128,15 @@
         return poller != null && poller.answering();
     }
 
+    /**
+     * Returns since when the present life of a registered worker is known. Former owners may have known those that were
+     * listed first for any time.
+     */
+    private Instant knownSince(WorkerState worker) {
+        Instant registeredAt = worker.lifeRegisteredAt();
+        return registeredAt.equals(firstListedAt) ? Instant.MIN : registeredAt;
+    }
+
     /** Returns whether new work may be placed on a worker. */
     boolean usable(WorkerState worker, Instant now) {
         return obstacle(worker, now) == PlacementObstacle.NONE;
@@ -170,7 +180,7 @@
     }
 
     private void logEvacuations() {
-        if (listed) {
+        if (listed()) {
             evacuations.logStarted(dataCentre -> workers.values().stream()
                     .filter(worker ->
                             worker.registered() && worker.entry().dataCentre().equals(dataCentre))
@@ -302,8 +312,10 @@
     }
 
     private void applyEntries(List<WorkerEntry> entries) {
-        listed = true;
         Instant now = context.now();
+        if (firstListedAt == null) {
+            firstListedAt = now;
+        }
         boolean changed = false;
         Set<WorkerId> listedIds = new HashSet<>();
         for (WorkerEntry entry : entries) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -44,6 +44,9 @@
     /** When the present {@link WorkerEntry#remainingMillis()} was first seen. */
     private Instant remainingSeenAt;
 
+    /** When the first entry of the worker's present life was listed; null without an entry. */
+    private Instant lifeRegisteredAt;
+
     /** When the worker was first absent from the listing; null while it is listed. */
     private Instant missingSince;
 
@@ -158,10 +161,18 @@
         if (entry == null || entry.remainingMillis() != newEntry.remainingMillis()) {
             remainingSeenAt = now;
         }
+        if (entry == null || entry.incarnation() != newEntry.incarnation()) {
+            lifeRegisteredAt = now;
+        }
         entry = newEntry;
         missingSince = null;
     }
 
+    /** Returns when the first entry of the worker's present life was listed. */
+    Instant lifeRegisteredAt() {
+        return lifeRegisteredAt;
+    }
+
     void markMissing(Instant now) {
         if (missingSince == null) {
             missingSince = now;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -277,6 +277,7 @@
             now = now.plus(TICK);
             store.advance(now);
             workers.values().forEach(worker -> worker.advance(clockMillis()));
+            liveWorkers.advance(workers.values(), clockMillis());
             pendingCalls.runDue(now);
             for (Host host : List.copyOf(hosts.values())) {
                 if (!host.suspended) {
@@ -424,10 +425,8 @@
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
             if (worker == null || !partitions.reachesWorker(self.address(), worker.name())) {
-                answer(
-                        CALL_TIMEOUT,
-                        () -> handler.accept(
-                                new WorkerAnswer.Lost(new Failure("worker", target.address(), "no answer in time"))));
+                Failure failure = new Failure("worker", target.address(), "no answer in time");
+                answer(CALL_TIMEOUT, () -> handler.accept(new WorkerAnswer.Lost(failure)));
                 return;
             }
             pendingCalls.add(now.plus(CALL_LATENCY), () -> {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeLiveWorkers.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeLiveWorkers.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
@@ -24,6 +26,11 @@
     /** Changes the true listing. */
     private UnaryOperator<Set<WorkerId>> distortion = UnaryOperator.identity();
 
+    private long lagMillis;
+
+    /** The workers that ran from each time on, in milliseconds since the start of the session; kept while there is a lag. */
+    private final TreeMap<Long, Set<WorkerId>> history = new TreeMap<>();
+
     private final List<Long> callMillis = new ArrayList<>();
 
     boolean offered() {
@@ -44,6 +51,21 @@
         distortion = change;
     }
 
+    /** Sets how old the listings are: a worker that has just started is not in them, and one that just ended still is. */
+    void setLag(Duration lag) {
+        lagMillis = lag.toMillis();
+    }
+
+    /** Takes note of the workers that run. */
+    void advance(Collection<FakeWorker> workers, long clockMillis) {
+        if (offered) {
+            Set<WorkerId> live = live(workers);
+            if (history.isEmpty() || !history.lastEntry().getValue().equals(live)) {
+                history.put(clockMillis, live);
+            }
+        }
+    }
+
     /** Returns when the listing was requested, in milliseconds since the start of the session. */
     List<Long> callMillis() {
         return callMillis;
@@ -63,19 +85,23 @@
         }
         return Optional.of(handler -> {
             callMillis.add(clockMillis);
-            LiveWorkerListing listing = list(workers);
+            LiveWorkerListing listing = list(workers, clockMillis);
             answers.accept(CellSession.CALL_LATENCY, () -> handler.accept(listing));
         });
     }
 
-    private LiveWorkerListing list(Collection<FakeWorker> workers) {
+    private LiveWorkerListing list(Collection<FakeWorker> workers, long clockMillis) {
         if (failing) {
             return new LiveWorkerListing.Unavailable(new Failure("live workers", "platform", "status 503"));
         }
-        Set<WorkerId> live = workers.stream()
+        Map.Entry<Long, Set<WorkerId>> past = lagMillis == 0 ? null : history.floorEntry(clockMillis - lagMillis);
+        return new LiveWorkerListing.Listed(distortion.apply(past == null ? live(workers) : past.getValue()));
+    }
+
+    private static Set<WorkerId> live(Collection<FakeWorker> workers) {
+        return workers.stream()
                 .filter(worker -> !worker.crashed())
                 .map(worker -> new WorkerId(worker.name()))
                 .collect(Collectors.toSet());
-        return new LiveWorkerListing.Listed(distortion.apply(live));
     }
 }
