Move the ends that a worker has reported out of WorkerState

Change: ReportedEnds keeps which ends were processed, are durable and were acknowledged; no behaviour changes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -159,7 +159,7 @@
     /** Marks the ends of runs as durable whose changes have been committed. */
     void onCommitted() {
         long durable = commitLog.durableSequence();
-        workerRegistry.workers().forEach(worker -> worker.markDurableUpTo(durable));
+        workerRegistry.workers().forEach(worker -> worker.ends().markDurableUpTo(durable));
     }
 
     /** Ends a job in the given state and stops its runs. */
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -118,11 +118,11 @@
         boolean clockOutdated = worker.clockOlderThan(MAX_CLOCK_AGE, now);
         boolean pollNeeded =
                 active || !worker.hasReported() || worker.hasUnknownRuns() || failures > 0 || clockOutdated;
-        if (!pollNeeded && !worker.hasEndsToAcknowledge()) {
+        if (!pollNeeded && !worker.ends().awaitAcknowledgement()) {
             return;
         }
         boolean leaseNearExpiry = !now.isBefore(leaseSentAt.plus(leaseDuration).minus(LEASE_RENEWAL_MARGIN));
-        if (!worker.allEndsDurable() && worker.hasReported() && !leaseNearExpiry) {
+        if (!worker.ends().allDurable() && worker.hasReported() && !leaseNearExpiry) {
             return;
         }
         send(active, mayExtend);
@@ -131,7 +131,7 @@
     private void send(boolean active, boolean mayExtend) {
         Instant now = context.now();
         callInFlight = true;
-        boolean longPoll = active && worker.allEndsDurable() && failures == 0 && worker.hasReported();
+        boolean longPoll = active && worker.ends().allDurable() && failures == 0 && worker.hasReported();
         boolean extend = mayExtend
                 && failures == 0
                 && worker.clockKnown()
@@ -140,7 +140,7 @@
         if (extend) {
             leaseSentAt = now;
         }
-        long acknowledged = worker.lastDurableEnd();
+        long acknowledged = worker.ends().lastDurable();
         WorkerOrder order = new WorkerOrder.Hold(
                 leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout() : Duration.ZERO);
         long incarnation = worker.incarnation();
@@ -190,7 +190,7 @@
             LOGGER.atWarning().log(
                     "event=worker_reborn worker=%s life=%d before=%d", worker.id(), report.life(), incarnation);
         } else {
-            worker.markAcknowledged(acknowledged);
+            worker.ends().markAcknowledged(acknowledged);
         }
         worker.setHasUnknownRuns(false);
         Set<Run> reportedRuns = new HashSet<>();
@@ -283,11 +283,11 @@
     }
 
     private void applyEnd(RunEnd end) {
-        if (worker.endProcessed(end.sequenceNumber())) {
+        if (worker.ends().processed(end.sequenceNumber())) {
             return;
         }
         long sequence = listener.onRunEnded(worker, end);
-        worker.recordEnd(end.sequenceNumber(), sequence);
+        worker.ends().record(end.sequenceNumber(), sequence);
     }
 
     private Run findRun(TaskRef ref, int number) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,8 +29,7 @@
 
     private final List<Run> runs = new ArrayList<>();
 
-    /** Ends whose records are not durable yet, oldest first. */
-    private final Deque<PendingEnd> pendingEnds = new ArrayDeque<>();
+    private final ReportedEnds ends = new ReportedEnds();
 
     private final BestEffortHistory bestEffortHistory = new BestEffortHistory();
 
@@ -78,13 +75,6 @@
 
     private boolean leaseExpired;
 
-    /** The number of the last end that was processed; workers number their ends from 1 in each incarnation. */
-    private long lastProcessedEnd;
-
-    private long lastDurableEnd;
-
-    private long lastAcknowledgedEnd;
-
     /** The task that the free capacity is reserved for until {@link #reservedUntil}, or null. */
     private Task reservationTask;
 
@@ -231,10 +221,7 @@
             latestLeaseEnd = newClockMillis + maxLease.toMillis();
         }
         if (restarted) {
-            pendingEnds.clear();
-            lastProcessedEnd = 0;
-            lastDurableEnd = 0;
-            lastAcknowledgedEnd = 0;
+            ends.reset();
         }
         incarnation = newIncarnation;
         hasReported = true;
@@ -463,43 +450,8 @@
         return bestEffortMilliCores;
     }
 
-    boolean endProcessed(long number) {
-        return number <= lastProcessedEnd;
-    }
-
-    /**
-     * Records an end of a run that was reported by the worker.
-     *
-     * @param recordSequence the sequence number of the change in the {@link CommitLog} that stores the end
-     */
-    void recordEnd(long number, long recordSequence) {
-        lastProcessedEnd = number;
-        pendingEnds.add(new PendingEnd(number, recordSequence));
-    }
-
-    /** Marks all ends as durable whose changes have a sequence number up to the given one. */
-    void markDurableUpTo(long durableSequence) {
-        while (!pendingEnds.isEmpty() && pendingEnds.peek().recordSequence() <= durableSequence) {
-            lastDurableEnd = pendingEnds.poll().number();
-        }
-    }
-
-    /** Returns the number of the last end that is durable and may be acknowledged to the worker. */
-    long lastDurableEnd() {
-        return lastDurableEnd;
-    }
-
-    boolean allEndsDurable() {
-        return pendingEnds.isEmpty();
+    /** Returns the ends that the worker's present incarnation has reported. */
+    ReportedEnds ends() {
+        return ends;
     }
-
-    boolean hasEndsToAcknowledge() {
-        return lastDurableEnd > lastAcknowledgedEnd;
-    }
-
-    void markAcknowledged(long number) {
-        lastAcknowledgedEnd = Math.max(lastAcknowledgedEnd, number);
-    }
-
-    private record PendingEnd(long number, long recordSequence) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerStateTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerStateTest.java
@@ -27,21 +27,21 @@
 
     @Test
     void lastDurableEndAdvancesOnlyToEndsWithDurableRecords() {
-        worker.recordEnd(1, 5);
-        worker.recordEnd(2, 7);
-        worker.markDurableUpTo(6);
-        assertThat(worker.lastDurableEnd()).isEqualTo(1);
-        assertThat(worker.allEndsDurable()).isFalse();
-        worker.markDurableUpTo(7);
-        assertThat(worker.lastDurableEnd()).isEqualTo(2);
+        worker.ends().record(1, 5);
+        worker.ends().record(2, 7);
+        worker.ends().markDurableUpTo(6);
+        assertThat(worker.ends().lastDurable()).isEqualTo(1);
+        assertThat(worker.ends().allDurable()).isFalse();
+        worker.ends().markDurableUpTo(7);
+        assertThat(worker.ends().lastDurable()).isEqualTo(2);
     }
 
     @Test
     void newIncarnationRestartsTheEndNumbers() {
-        worker.recordEnd(3, 1);
-        worker.markDurableUpTo(1);
+        worker.ends().record(3, 1);
+        worker.ends().markDurableUpTo(1);
         assertThat(worker.recordReport(2, 0, LEASE, OwnerFixtures.NOW)).isTrue();
-        assertThat(worker.lastDurableEnd()).isZero();
-        assertThat(worker.endProcessed(1)).isFalse();
+        assertThat(worker.ends().lastDurable()).isZero();
+        assertThat(worker.ends().processed(1)).isFalse();
     }
 }
