Start another task of a job whose slow start is paused for long

Cause: StarvedTaskPlanner let a job have one open start of its own on a worker that answers. While that run was paused, for up to 6 s, the other tasks of the job waited and nothing of it was at work.

Change: once the run has been paused for the 2 s after which a job counts as idle, another task may start on another worker, but only where the latency-critical tasks are expected to keep their headroom with it at the lowest speed, so that it is not paused as well. Slow tasks do not multiply on workers that they harm. This does not depend on whether a paused run counts as running.

Result: StarvedBestEffortTaskTest .anotherTaskRunsElsewhereWhileTheOnlyOneAtWorkIsPausedForLong and StarvedTaskPlannerTest .jobWhoseLastSelectedTaskIsPausedForLongIsSelectedIfAnotherWorkerTakesIt fail with the old rule and pass now; jobWhoseLastSelectedTaskIsPausedWaits holds unchanged, and ...WaitsIfItWouldBePausedElsewhereToo guards the other side.

Conclusion: still idle are a job with one task, and one that is expected to be paused on all workers; the pause itself often raises the learned cost of its image so far.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementCandidate.java
@@ -173,8 +173,15 @@
      * tasks there with one more best-effort task.
      */
     double predictHeadroom(StepSpec addition) {
+        return predictHeadroom(addition, ThrottleController.FULL_SPEED_PERCENT);
+    }
+
+    /** Predicts the same with a best-effort task that is throttled to a share of its demand. */
+    double predictHeadroom(StepSpec addition, int percent) {
         double share = (double) addition.demand().milliCores()
-                / worker.entry().capacity().milliCores();
+                / worker.entry().capacity().milliCores()
+                * percent
+                / ThrottleController.FULL_SPEED_PERCENT;
         double lowest = Double.MAX_VALUE;
         for (LatencyHeadroom headroom : headrooms) {
             lowest = Math.min(lowest, headroom.withBestEffortTask(addition.imageName(), share));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -77,7 +77,9 @@
             boolean loaded = loadedServices.computeIfAbsent(
                     job.queue().service(), service -> ServiceLoad.high(service, pass, answering, now));
             if (!loaded && mayStart(job, now) && (served || idleForLong(job, timeOfDayMillis, now))) {
-                selected.addAll(waitingShortTasks(job, timeOfDayMillis, now));
+                waitingShortTasks(job, timeOfDayMillis, now).stream()
+                        .filter(task -> pass.candidates().stream().anyMatch(candidate -> mayFollow(task, candidate)))
+                        .forEach(selected::add);
             }
         }
         servedJobs.retainAll(stillServed);
@@ -93,14 +95,33 @@
     }
 
     /**
-     * Returns whether a task of the job may be started although others have open runs: none of these is at work, and none
-     * that this planner started is on a worker that answers, so that a job gets one such task at a time also while it is
-     * paused.
+     * Returns whether a task of the job may be started although others have open runs: none of these is at work, and the
+     * last one that this planner started is on a worker that does not answer, or has been paused for long. The last case
+     * permits only workers on which the task is not expected to be paused as well, so that slow tasks do not multiply.
      */
     boolean mayStart(Job job, Instant now) {
-        Run openStart = openStarts.get(job.id());
-        boolean startPending = openStart != null && answering.test(openStart.worker());
-        return !startPending && openRuns(job).noneMatch(run -> atWorkOrSoon(run, now));
+        Run pending = pendingStart(job);
+        boolean mayFollow = pending == null || pausedForLong(pending, now);
+        return mayFollow && openRuns(job).noneMatch(run -> atWorkOrSoon(run, now));
+    }
+
+    /** Returns the last run that this planner started for a job if it is open on a worker that answers, else null. */
+    private Run pendingStart(Job job) {
+        Run run = openStarts.get(job.id());
+        return run != null && answering.test(run.worker()) ? run : null;
+    }
+
+    private static boolean pausedForLong(Run run, Instant now) {
+        return run.throttledToPercent() == 0 && !now.isBefore(run.throttledAt().plus(IdleJob.NOTICEABLE_TIME));
+    }
+
+    /** Returns whether a task may start on a worker although the last one that was started for its job is paused. */
+    private boolean mayFollow(Task task, PlacementCandidate candidate) {
+        Run pending = pendingStart(task.job());
+        return pending == null
+                || candidate.worker() != pending.worker()
+                        && candidate.predictHeadroom(task.step().spec(), ThrottleController.LOWEST_SPEED_PERCENT)
+                                >= ThrottleController.TARGET_HEADROOM;
     }
 
     /** Returns whether a run of the job was placed as usual and is at work, so that the job is no longer starved. */
@@ -142,7 +163,10 @@
         PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
         boolean lifted =
                 LIFTED_OBSTACLES.contains(obstacle) || candidate.quarantined() && obstacle == PlacementObstacle.NONE;
-        return lifted && !candidate.worker().reservedForOther(task, now) && candidate.admits(task);
+        return lifted
+                && mayFollow(task, candidate)
+                && !candidate.worker().reservedForOther(task, now)
+                && candidate.admits(task);
     }
 
     private static boolean lastResort(Task task, PlacementCandidate candidate) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/ThrottleController.java
@@ -29,12 +29,12 @@
      */
     static final double TARGET_HEADROOM = 1.4;
 
+    static final int FULL_SPEED_PERCENT = 100;
+
     static final int LOWEST_SPEED_PERCENT = 25;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    private static final int FULL_SPEED_PERCENT = 100;
-
     /** Speeds in percent at which a best-effort task may run; below the lowest it is paused. */
     private static final int[] SPEED_LEVELS = {FULL_SPEED_PERCENT, 50, LOWEST_SPEED_PERCENT};
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StarvedBestEffortTaskTest.java
@@ -31,11 +31,15 @@
     /** Shows the latency-critical tasks at half of their target, as the workers report 1 ms. */
     private static final double TARGET_MILLIS = 2;
 
-    private static final String LEARNED = "{\"responses\":[{\"serving\":\"service\",\"baseline\":2.0,"
-            + "\"costs\":[{\"filling\":\"heavy\",\"slack\":12.0,\"variance\":0.01}]}]}";
+    private static final String LEARNED = "{\"responses\":[" + learned("service") + "," + learned("other") + "]}";
 
     private final CellSession session = new CellSession();
 
+    private static String learned(String image) {
+        return "{\"serving\":\"" + image + "\",\"baseline\":2.0,"
+                + "\"costs\":[{\"filling\":\"heavy\",\"slack\":12.0,\"variance\":0.01}]}";
+    }
+
     @BeforeEach
     void startCell() {
         for (int i = 0; i < WORKERS; i++) {
@@ -48,15 +52,22 @@
 
     /** Starts a latency-critical task on each worker. */
     private void startLatencyCriticalTasks(long milliCores) {
-        StepSpec step = new StepSpecBuilder()
-                .count(WORKERS)
+        startLatencyCriticalTasks(List.of(latencyCriticalStep("service", WORKERS, milliCores)));
+    }
+
+    private static StepSpec latencyCriticalStep(String image, int count, long milliCores) {
+        return new StepSpecBuilder()
+                .count(count)
                 .demand(new Resources(milliCores, 100, 0))
                 .lasting(true)
-                .image("service")
+                .image(image)
                 .targetMillis(TARGET_MILLIS)
                 .maxPerWorker(1)
                 .build();
-        JobSpec spec = new JobSpec("work", List.of(step), 0, 0, 0);
+    }
+
+    private void startLatencyCriticalTasks(List<StepSpec> steps) {
+        JobSpec spec = new JobSpec("work", steps, 0, 0, 0);
         session.call("h1", new CallerOperation.Submit(spec), "/q/00000000000000aa");
         session.advance(Duration.ofSeconds(2));
         for (int i = 0; i < WORKERS; i++) {
@@ -205,6 +216,34 @@
         worker.setListed(false);
     }
 
+    /** The other tasks waited for the end of the pause, so that nothing was at work for as long as it lasted. */
+    @Test
+    void anotherTaskRunsElsewhereWhileTheOnlyOneAtWorkIsPausedForLong() {
+        startLatencyCriticalTasks(List.of(
+                latencyCriticalStep("service", WORKERS / 2, 9_000), latencyCriticalStep("other", WORKERS / 2, 6_000)));
+        StepSpec step = new StepSpecBuilder()
+                .count(3)
+                .demand(new Resources(1_000, 100, 0))
+                .image("heavy")
+                .fills(true)
+                .build();
+        session.call("h1", new CallerOperation.Submit(new JobSpec("work", List.of(step), 0, 0, 0)), "/q/" + HEAVY_JOB);
+        session.advance(Duration.ofSeconds(3));
+        TaskRef first = session.running(HEAVY_JOB).get(0);
+        FakeWorker worker = workerOf(first);
+        worker.setMeasurements(task -> 1.5 * TARGET_MILLIS);
+        int pausedTicks = 0;
+        for (int i = 0; i < 50 && pausedTicks < 29; i++) {
+            session.advance(Duration.ofMillis(100));
+            pausedTicks = worker.speed(first) == 0 ? pausedTicks + 1 : 0;
+        }
+        assertThat(pausedTicks).isEqualTo(29);
+        assertThat(session.running(HEAVY_JOB)).hasSize(2).contains(first);
+        session.running(HEAVY_JOB).stream()
+                .filter(task -> !task.equals(first))
+                .forEach(task -> assertThat(workerOf(task).speed(task)).isPositive());
+    }
+
     /** Under load, capacity becomes free soon, and slow tasks would take the headroom of others. */
     @Test
     void taskWaitsWhileMostCapacityIsReserved() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlannerTest.java
@@ -131,6 +131,36 @@
         assertThat(selectAt(LONG.multipliedBy(3), job)).hasSize(1);
     }
 
+    /** One paused task kept the others of its job waiting, also if another worker could have had one at work. */
+    @Test
+    void jobWhoseLastSelectedTaskIsPausedForLongIsSelectedIfAnotherWorkerTakesIt() {
+        Job job = jobWithAPausedStart();
+        WorkerState idle = OwnerFixtures.worker("idle", 16_000);
+        assertThat(selectAt(Duration.ofMillis(1_900), List.of(worker, idle), job))
+                .isEmpty();
+        assertThat(selectAt(Duration.ofMillis(2_200), List.of(worker, idle), job))
+                .containsExactly(other(job));
+    }
+
+    /** A task that would be paused there too does nothing for its job, and harms those beside it until it is. */
+    @Test
+    void jobWhoseLastSelectedTaskIsPausedWaitsIfItWouldBePausedElsewhereToo() {
+        Job job = jobWithAPausedStart();
+        WorkerState busy = OwnerFixtures.worker("busy", 16_000);
+        Job service = OwnerFixtures.job("s", OwnerFixtures.latencyCriticalStep("s", 1_000, 10), now);
+        OwnerFixtures.run(OwnerFixtures.task(service), busy, 20);
+        assertThat(selectAt(LONG, List.of(worker, busy), job)).isEmpty();
+    }
+
+    private Job jobWithAPausedStart() {
+        Job job = job(LONG);
+        Run run = OwnerFixtures.run(OwnerFixtures.task(job), worker, 1);
+        run.markSlowStart();
+        run.setThrottledToPercent(0, now);
+        planner.onStarted(run.task());
+        return job;
+    }
+
     /** The lost slow task hid the others until its lease had expired. */
     @Test
     void jobWhoseLastSelectedTaskIsOnASilentWorkerIsSelected() {
@@ -186,8 +216,12 @@
     }
 
     private List<Task> selectAt(Duration later, Job job) {
+        return selectAt(later, List.of(worker), job);
+    }
+
+    private List<Task> selectAt(Duration later, List<WorkerState> workers, Job job) {
         Instant time = now.plus(later);
-        PlacementPass pass = placementPolicy.startPass(List.of(worker), each -> true, time);
+        PlacementPass pass = placementPolicy.startPass(workers, each -> true, time);
         return planner.selectTasks(List.of(job), pass, time.toEpochMilli(), time);
     }
 
