Let a successor learn when each owner before the last one had stopped

Cause: The ledger names only the last owner. For the owners before it, it has one time R, which a successor counts anew from its reading and cannot shorten.

Change: A record beside the ledger, flamingopitch/former-owners, written in the same transaction, names up to 8 former owners with the time for which, by the owner's bounds, the leases of each may last; others count in one further time. A successor asks for the stop of each of them as it did for the last owner, and takes the earlier of that bound and the time that is left. The record counts only if it has the number of the ledger's last transaction. The ledger's text is unchanged: the former version reads R from it, and leaves the record as it is, so that its own R holds for a successor of this version. A transaction has 27 records instead of 28, as the store accepts 32 entries.

Owners of the former version are waited for as before.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellKeys.java
@@ -14,6 +14,12 @@
     /** The key of the ledger entry, which holds the commit marker of the last transaction of any owner. */
     public static final String LEDGER = "flamingopitch/ledger";
 
+    /**
+     * The key of the {@link FormerOwnersRecord}. Processes of an earlier version leave it unchanged, so it may belong to
+     * another transaction than the ledger entry.
+     */
+    public static final String FORMER_OWNERS = "flamingopitch/former-owners";
+
     /** The key of the learned statistics, a {@link LearnedRecord}. */
     public static final String LEARNED = "flamingopitch/learned";
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -85,7 +85,7 @@
      * @param timings the platform's time limits
      * @param election the election that this process won
      * @param self the record of this process
-     * @param stopMonitor is told the former owner that the ledger names, and passes on a time by which that one had
+     * @param stopMonitor is told the former owners that the ledger names, and passes on a time by which each one had
      *     stopped to extend leases, if it learns one
      * @param fencingToken the version at which this process won the owner's key; workers reject orders with a lower one
      * @param configuration the queues in force
@@ -115,7 +115,9 @@
                 context, fencingToken, timings.maxLease(), formerLeases.expiry(), evacuations, runManager);
         this.load = new CellLoad(jobs, workerRegistry, statistics.bestEffortCompletionRate());
         this.recordsLoader = new CellRecordsLoader(
-                context, ledger -> formerLeases.applyLedger(ledger, context.now()), this::restore);
+                context,
+                (ledger, formerOwners) -> formerLeases.applyLedger(ledger, formerOwners, context.now()),
+                this::restore);
     }
 
     /** Starts to load the records of former owners and to poll the workers. */
@@ -314,7 +316,7 @@
             jobs.add(job);
             runManager.onJobRestored(job);
         });
-        Ownership ownership = new Ownership(fencingToken, self, formerLeases::expiry);
+        Ownership ownership = new Ownership(fencingToken, self, formerLeases);
         commitLog = new CommitLog(context, ownership, ledgerVersion, statistics::record, new CommitListener());
         runManager.startPlacing(commitLog, workerRegistry, this::mayPlace);
         LOGGER.atInfo().log(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -4,7 +4,9 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.coordination.kv.KeyValueEntry;
@@ -22,7 +24,7 @@
 
     private final CellContext context;
 
-    private final Consumer<KeyValueEntry> ledgerHandler;
+    private final BiConsumer<KeyValueEntry, Optional<KeyValueEntry>> ledgerHandler;
 
     private final Listener listener;
 
@@ -32,19 +34,23 @@
 
     private LearnedRecord learnedStatistics;
 
-    private boolean ledgerRead;
+    /** The ledger entry, empty if there is none; null before it is read. */
+    private Optional<KeyValueEntry> ledger;
 
-    private long ledgerVersion;
+    /** The entry that names the former owners, empty if there is none; null before it is read. */
+    private Optional<KeyValueEntry> formerOwners;
 
     private boolean closed;
 
     /**
      * Creates a loader.
      *
-     * @param ledgerHandler receives the ledger entry as soon as it is read, unless there is none
+     * @param ledgerHandler receives the ledger entry and the one that names the former owners as soon as both are read,
+     *     unless there is no ledger entry
      * @param listener receives the records
      */
-    CellRecordsLoader(CellContext context, Consumer<KeyValueEntry> ledgerHandler, Listener listener) {
+    CellRecordsLoader(
+            CellContext context, BiConsumer<KeyValueEntry, Optional<KeyValueEntry>> ledgerHandler, Listener listener) {
         this.context = context;
         this.ledgerHandler = ledgerHandler;
         this.listener = listener;
@@ -52,6 +58,7 @@
 
     void start() {
         readLedger();
+        readFormerOwners();
         readJobs();
         readProgress();
         readLearned();
@@ -63,15 +70,28 @@
 
     private void readLedger() {
         read(new KeyValueRequest.Get(CellKeys.LEDGER), this::readLedger, result -> {
-            ledgerRead = true;
-            ledgerVersion = KeyValueRequest.ABSENT;
-            if (result instanceof KeyValueResult.Found found) {
-                ledgerVersion = found.entry().version();
-                ledgerHandler.accept(found.entry());
-            }
+            ledger = entry(result);
+            handleLedger();
+        });
+    }
+
+    private void readFormerOwners() {
+        read(new KeyValueRequest.Get(CellKeys.FORMER_OWNERS), this::readFormerOwners, result -> {
+            formerOwners = entry(result);
+            handleLedger();
         });
     }
 
+    private static Optional<KeyValueEntry> entry(KeyValueResult result) {
+        return result instanceof KeyValueResult.Found found ? Optional.of(found.entry()) : Optional.empty();
+    }
+
+    private void handleLedger() {
+        if (ledger != null && formerOwners != null) {
+            ledger.ifPresent(entry -> ledgerHandler.accept(entry, formerOwners));
+        }
+    }
+
     private void readJobs() {
         Map<JobId, JobRecord> loaded = new LinkedHashMap<>();
         readPage(
@@ -151,7 +171,9 @@
                 return;
             }
             onResult.accept(result);
+            boolean ledgerRead = ledger != null && formerOwners != null;
             if (ledgerRead && jobs != null && progress != null && learnedStatistics != null) {
+                long ledgerVersion = ledger.map(KeyValueEntry::version).orElse(KeyValueRequest.ABSENT);
                 listener.onLoaded(ledgerVersion, jobs, progress, learnedStatistics);
             }
         });
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitLog.java
@@ -300,7 +300,8 @@
     private void send(CommitBatch batch) {
         transactionCount++;
         markerSentAt = context.now();
-        batch.setCommitMarker(ownership.marker(transactionCount, markerSentAt).encode());
+        CommitMarker marker = ownership.marker(transactionCount, markerSentAt);
+        batch.setCommitMarker(marker.encode());
         List<KeyValueRequest.Write> writes = new ArrayList<>();
         List<String> deletions = new ArrayList<>();
         for (PendingRecord record : batch.nextRecords()) {
@@ -311,6 +312,10 @@
             }
         }
         writes.add(new KeyValueRequest.Write(CellKeys.LEDGER, batch.commitMarker(), null));
+        ownership
+                .formerOwners(marker, markerSentAt)
+                .ifPresent(
+                        record -> writes.add(new KeyValueRequest.Write(CellKeys.FORMER_OWNERS, record.encode(), null)));
         List<KeyValueRequest.Condition> conditions = List.of(
                 new KeyValueRequest.Condition(CellKeys.OWNER, ownership.version()),
                 new KeyValueRequest.Condition(CellKeys.LEDGER, ledgerVersion));
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitMarker.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CommitMarker.java
@@ -24,12 +24,17 @@
     String encode() {
         return String.join(
                 SEPARATOR,
-                ownerVersion + "." + transaction,
+                transactionId(),
                 Long.toString(formerLeaseTime.toMillis()),
                 owner.address(),
                 owner.process().value());
     }
 
+    /** Returns what identifies the transaction among those of all owners. */
+    String transactionId() {
+        return ownerVersion + "." + transaction;
+    }
+
     /**
      * Decodes the value of the ledger entry.
      *
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TransactionBuilder.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TransactionBuilder.java
@@ -8,8 +8,11 @@
 /** Collects the writes and deletions of one transaction, within the limits of the store and of a slow link. */
 final class TransactionBuilder {
 
-    /** The store accepts 32 entries per transaction; two conditions, the ledger and the learned statistics take four. */
-    static final int MAX_RECORDS = 28;
+    /**
+     * The store accepts 32 entries per transaction; two conditions, the ledger, the former owners and the learned
+     * statistics take five.
+     */
+    static final int MAX_RECORDS = 27;
 
     /** A link of 7 Mbit/s carries this, as base64, in 0.4 s, which is well within the time limit of a call. */
     static final int MAX_BYTES = 256 * 1024;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FormerOwnerLeaseTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.flamingopitch.scheduler.cell.entry.CallerOperation;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.owner.CellKeys;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests when a successor treats tasks as ended whose workers it cannot reach. */
 final class FormerOwnerLeaseTest {
@@ -120,6 +122,64 @@
         assertThat(session.running(JOB_ID)).hasSize(1);
     }
 
+    /**
+     * An owner that cannot learn when the one before it had stopped is lost a few seconds after its election, and all
+     * hosts come back. Their successor can learn when each of the two had stopped.
+     */
+    @Test
+    void taskOfAWorkerThatIsLostWithTwoOwnersInARowStartsElsewhereInTime() {
+        start();
+        session.advance(LONGEST_WAIT);
+        String first = owner();
+        String second = otherThan(first);
+        session.removeWorker(workerOfTask());
+        session.advance(Duration.ofMillis(500));
+        session.killHost(first);
+        session.advance(Duration.ofSeconds(3));
+        assertThat(session.node(second).ownsCell()).isTrue();
+        session.killHost(second);
+        session.advance(Duration.ofSeconds(1));
+        HOSTS.forEach(session::addHost);
+        session.advance(MAX_WAIT_AFTER_RESTART);
+        assertThat(session.running(JOB_ID)).hasSize(1);
+    }
+
+    /**
+     * The first owner is cut off from the store and goes on with the lease of a worker that no other host reaches. The
+     * second one is lost shortly after its election, and all hosts but the first restart. The third one must wait for the
+     * first, which is neither in the ledger entry nor in the watch, although it learns at once that the second has ended.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {50, 100, 300, 600, 1_000, 2_000})
+    void taskNeverRunsTwiceWhileTheOwnerBeforeTheLastOneMayExtendTheLease(int secondOwnerMillis) {
+        start();
+        session.addHost("h3");
+        session.advance(LONGEST_WAIT);
+        String first = session.node("h3").ownsCell() ? "h3" : owner();
+        String worker = workerOfTask();
+        List<String> others =
+                Stream.of("h1", "h2", "h3").filter(host -> !host.equals(first)).toList();
+        others.forEach(host -> session.partitions().cutFromWorker(host, worker));
+        session.partitions().cutFromStore(first);
+        for (int millis = 0;
+                others.stream().noneMatch(host -> session.node(host).ownsCell());
+                millis += 5) {
+            assertThat(millis).isLessThan(5_000);
+            session.advance(Duration.ofMillis(5));
+        }
+        session.advance(Duration.ofMillis(secondOwnerMillis));
+        others.forEach(session::killHost);
+        session.advance(Duration.ofMillis(50));
+        others.forEach(session::addHost);
+        for (int millis = 0; millis < 12_000; millis += 5) {
+            session.advance(Duration.ofMillis(5));
+            assertThat(session.running(JOB_ID)).doesNotHaveDuplicates();
+        }
+        assertThat(others).anyMatch(host -> session.node(host).ownsCell());
+        assertThat(session.running(JOB_ID)).hasSize(1);
+        assertThat(session.worker(worker).running()).isEmpty();
+    }
+
     /** The leases of the former owner are over before the successor has asked the worker for what has ended there. */
     @Test
     void taskThatEndedDuringALongOutageIsNotStartedAgain() {
