Test a successor whose first commits are refused

Cause: An owner extends no lease before its first commit, so that a successor knows of it.

Conclusion: Not mended. Extending earlier is not safe, since no successor would know of the owner. Its claim would have to name it in a record that outlives its key, which is a change of Election.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeStore.java
@@ -51,6 +51,8 @@
 
     private Predicate<String> rejectedKeys = key -> false;
 
+    private Predicate<String> refusedKeys = key -> false;
+
     private int maxPageEntries = Integer.MAX_VALUE;
 
     private IntPredicate failedPages = number -> false;
@@ -113,6 +115,15 @@
         rejectedKeys = keys;
     }
 
+    /**
+     * Sets which keys the store writes in no transaction for now, as one that has too many calls (status 429).
+     *
+     * @param keys the keys
+     */
+    public void setRefusedKeys(Predicate<String> keys) {
+        refusedKeys = keys;
+    }
+
     /**
      * Returns the size of all values in the largest transaction so far.
      *
@@ -318,6 +329,9 @@
     }
 
     private KeyValueResult transact(KeyValueRequest.Transaction transaction) {
+        if (transaction.writes().stream().anyMatch(write -> refusedKeys.test(write.key()))) {
+            return failure("status 429");
+        }
         if (exceedsLimits(transaction)) {
             return new KeyValueResult.Rejected(new Failure("store", "fake", "status 400"));
         }
