Draw sessions in which the platform lists its workers and replaces them

Cause: the drawn sessions never offered the platform's list of workers, so that they judged a configuration that users do not run, and no drawn session had a list with faults or workers that are replaced all the time.

Change: DrawnSession.withListing and withListingAndClosing. The list is sound, late by 50 to 800 ms, incomplete (the same page is missing for 0.5 to 4.5 s) or unavailable, until 4 s after the last disruption; then sound or late. Workers are replaced at their address or elsewhere, or added, until the last disruption; draining ones without work come and go until 12 s after it. In a third of the sessions the host h2 is lost for good with up to three workers. All of it is drawn from a random of its own. SecondRunCheck finds tasks that run twice. The properties idleJob.listingSeeds and idleJob.listingClosingSeeds select seeds. DrawnHosts, DrawnInterference and DrawnProgress are split off DrawnSession.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DrawnSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/DrawnSession.java
@@ -47,21 +47,25 @@
 
     private final Map<FakeWorker, Duration> crashedFor = new HashMap<>();
 
-    /** The work done by each run, in thousandths of a second at full speed. */
-    private final Map<FakeWorker, Map<TaskRef, Double>> progress = new HashMap<>();
+    private final DrawnProgress progress;
+
+    private final SecondRunCheck secondRunCheck = new SecondRunCheck();
 
     private final Set<FakeWorker> lostForGood = new HashSet<>();
 
-    private final Set<String> hostsDown = new HashSet<>();
+    private final DrawnHosts hosts;
 
     /** Whether workers come back under the name that they had. */
     private final boolean sameId;
 
-    private final double loadSwing;
+    private final DrawnInterference interference;
 
     /** Decides the closing; null if the session has none. Apart from {@link #random}, so that the seeds keep their meaning. */
     private final SplittableRandom closing;
 
+    /** Decides what the platform's list of workers shows; null if the session has no list. */
+    private final DrawnListing listing;
+
     private Duration now = Duration.ZERO;
 
     private int addedWorkers;
@@ -83,17 +87,20 @@
     }
 
     DrawnSession(long seed) {
-        this(seed, null);
+        this(seed, null, null);
     }
 
-    private DrawnSession(long seed, SplittableRandom closing) {
+    private DrawnSession(long seed, SplittableRandom closing, DrawnListing listing) {
         this.closing = closing;
+        this.listing = listing;
         random = new SplittableRandom(seed);
         session = new CellSession(seed);
+        hosts = new DrawnHosts(session);
         plan = new DrawnPlan(random);
         sameId = random.nextInt(3) == 0;
-        loadSwing = random.nextInt(2) == 0 ? 0 : 0.4;
         jobs = plan.jobs();
+        interference = new DrawnInterference(plan, random.nextInt(2) == 0 ? 0 : 0.4);
+        progress = new DrawnProgress(jobs, random);
     }
 
     /**
@@ -101,7 +108,17 @@
      * workers are lost, silent, reborn or reclaimed at the same moment or in the second before.
      */
     static DrawnSession withClosing(long seed) {
-        return new DrawnSession(seed, new SplittableRandom(~seed));
+        return new DrawnSession(seed, new SplittableRandom(~seed), null);
+    }
+
+    /** Creates a session in which the platform lists its workers, and replaces some all the time. */
+    static DrawnSession withListing(long seed) {
+        return new DrawnSession(seed, null, new DrawnListing(seed));
+    }
+
+    /** Creates a session with a listing whose last disruption is a closing. */
+    static DrawnSession withListingAndClosing(long seed) {
+        return new DrawnSession(seed, new SplittableRandom(~seed), new DrawnListing(seed));
     }
 
     /** Plays the session and returns the check that judged its quiet phase. */
@@ -110,11 +127,10 @@
         int workerCount = 6 + random.nextInt(7);
         int labelled = 2 + random.nextInt(3);
         for (int i = 0; i < workerCount; i++) {
-            FakeWorker worker = addWorker("w" + i, "w" + i + ":1");
+            FakeWorker worker = addNextWorker();
             worker.setRack(i < labelled ? "special" : "r" + i % 2);
             worker.setDataCentre(i % 3 == 2 ? "b" : "a");
         }
-        addedWorkers = workerCount;
         plan.drawJobs(workerCount);
         session.store().write("flamingopitch/learned", plan.learnedRecord());
         session.configure(plan.configuration());
@@ -123,9 +139,13 @@
         session.advance(Duration.ofSeconds(3));
         scheduleJobs();
         Duration lastDisruption = scheduleDisruptions();
+        if (listing != null) {
+            listing.schedule(this, session, lastDisruption);
+        }
         Duration end = lastDisruption.plus(QUIET_TIME);
         while (now.compareTo(end) < 0) {
             advance();
+            secondRunCheck.check(workers.values(), jobs, now);
             if (now.compareTo(lastDisruption.plus(CALM_AFTER_DISRUPTION)) >= 0) {
                 check.check(session, workers.values(), jobs, now, STEP);
             }
@@ -133,12 +153,16 @@
         return check;
     }
 
+    List<String> secondRuns() {
+        return secondRunCheck.violations();
+    }
+
     private FakeWorker addWorker(String name, String address) {
         FakeWorker worker = session.addWorker(name, address, MILLI_CORES);
-        worker.setReportedPercents(task -> percent(worker, task));
+        worker.setReportedPercents(task -> progress.percent(worker, task));
         worker.setCrashesAtOnce(plan.crashesAtOnce());
         worker.setDeadlyTasks(task -> job(task).behaviour() == DrawnJob.Behaviour.CRASHES_WORKERS);
-        worker.setMeasurements(task -> measurement(worker, task));
+        worker.setMeasurements(task -> interference.measurement(worker, task, now));
         workers.put(name, worker);
         return worker;
     }
@@ -147,29 +171,11 @@
         return jobs.get(Integer.parseInt(task.job().value(), 16));
     }
 
-    private double percent(FakeWorker worker, TaskRef task) {
-        double done = progress.getOrDefault(worker, Map.of()).getOrDefault(task, 0.0);
-        return job(task).step(task).lasting()
-                ? 100
-                : Math.min(99, 100 * done / job(task).work().toMillis());
-    }
-
-    private double measurement(FakeWorker worker, TaskRef task) {
-        if (!job(task).step(task).latencyCritical()) {
-            return 1;
-        }
-        double swing = loadSwing * Math.sin(now.toMillis() / 3_000.0);
-        double headroom = plan.baseline(job(task).step(task).imageName()) + swing;
-        for (TaskRef other : worker.running()) {
-            if (job(other).step(other).fills()) {
-                double share = (double) job(other).step(other).demand().milliCores() / MILLI_CORES;
-                headroom -= share * plan.cost(job(other).step(other).imageName()) * worker.speed(other) / 100;
-            }
-        }
-        return job(task).step(task).targetMillis() / Math.max(0.2, headroom);
+    DrawnHosts hosts() {
+        return hosts;
     }
 
-    private void at(Duration time, Runnable action) {
+    void at(Duration time, Runnable action) {
         actions.computeIfAbsent(time, key -> new ArrayList<>()).add(action);
     }
 
@@ -184,25 +190,10 @@
             actions.pollFirstEntry().getValue().forEach(Runnable::run);
         }
         List.copyOf(workers.values()).forEach(this::bringBackIfDue);
-        workers.values().forEach(this::work);
+        workers.values().forEach(worker -> progress.work(worker, STEP));
         jobs.forEach(DrawnJob::noteAcknowledgedEnds);
     }
 
-    private void work(FakeWorker worker) {
-        Map<TaskRef, Double> done = progress.computeIfAbsent(worker, key -> new HashMap<>());
-        done.keySet().retainAll(worker.running());
-        for (TaskRef task : worker.running()) {
-            DrawnJob job = job(task);
-            if (job.step(task).lasting()) {
-                continue;
-            }
-            double sum = done.merge(task, STEP.toMillis() * worker.speed(task) / 100.0, Double::sum);
-            if (sum >= job.work().toMillis()) {
-                job.endRun(task, worker, random.nextInt(4) == 0);
-            }
-        }
-    }
-
     private void bringBackIfDue(FakeWorker worker) {
         if (!worker.crashed()) {
             return;
@@ -217,8 +208,13 @@
         crashedFor.remove(worker);
         if (sameId) {
             worker.restart();
-            return;
+        } else {
+            replace(worker);
         }
+    }
+
+    /** Replaces a worker by one with a new id at its address. */
+    private void replace(FakeWorker worker) {
         session.removeWorker(worker.name());
         workers.remove(worker.name());
         FakeWorker next = addWorker(worker.name() + "'", worker.address());
@@ -229,16 +225,37 @@
     private void disturbJobsOf(FakeWorker worker) {
         jobs.forEach(job -> job.forgetEndsOn(worker));
         jobs.forEach(job -> job.disturbUntil(now.plus(CALM_AFTER_DISRUPTION)));
-        progress.remove(worker);
+        progress.forget(worker);
+    }
+
+    /** Replaces a worker that runs, either by one with a new id at its address or for good by one elsewhere. */
+    void replaceRunning(int index, boolean sameAddress) {
+        FakeWorker worker = List.copyOf(workers.values()).get(index % workers.size());
+        if (worker.crashed()) {
+            return;
+        }
+        if (sameAddress) {
+            disturbJobsOf(worker);
+            replace(worker);
+        } else {
+            loseForGood(worker);
+            addNextWorker();
+        }
+    }
+
+    FakeWorker addNextWorker() {
+        String name = "w" + addedWorkers;
+        addedWorkers++;
+        return addWorker(name, name + ":1");
     }
 
     private void scheduleJobs() {
         for (int i = 0; i < jobs.size(); i++) {
             DrawnJob job = jobs.get(i);
             at(plan.submissionTime(i), () -> {
-                if (hostUp("h1") || hostUp("h2")) {
+                if (hosts.up("h1") || hosts.up("h2")) {
                     job.setSubmitAnswers(session.call(
-                            hostUp("h1") ? "h1" : "h2", new CallerOperation.Submit(job.spec()), job.path()));
+                            hosts.up("h1") ? "h1" : "h2", new CallerOperation.Submit(job.spec()), job.path()));
                 }
             });
         }
@@ -298,14 +315,14 @@
         switch (kind) {
             case HOST_KILLED -> {
                 String host = random.nextBoolean() ? "h1" : "h2";
-                atMillis(start, () -> killHosts(List.of(host)));
-                atMillis(end, () -> addHostIfMissing(host));
+                atMillis(start, () -> hosts.kill(List.of(host)));
+                atMillis(end, () -> hosts.addIfMissing(host));
             }
             case ALL_HOSTS_KILLED -> {
-                atMillis(start, () -> killHosts(List.of("h1", "h2")));
+                atMillis(start, () -> hosts.kill(List.of("h1", "h2")));
                 atMillis(end, () -> {
-                    addHostIfMissing("h1");
-                    addHostIfMissing("h2");
+                    hosts.addIfMissing("h1");
+                    hosts.addIfMissing("h2");
                 });
             }
             case STORE_RESETS -> {
@@ -329,37 +346,16 @@
             }
             case CANCELS ->
                 atMillis(end, () -> {
-                    addWorker("w" + addedWorkers, "w" + addedWorkers + ":1");
-                    addedWorkers++;
+                    addNextWorker();
                     cancelSomeJobs();
                 });
             default -> throw new IllegalArgumentException(kind.name());
         }
     }
 
-    private void killHosts(List<String> hosts) {
-        for (String host : hosts) {
-            if (hostUp(host)) {
-                session.killHost(host);
-                hostsDown.add(host);
-            }
-        }
-    }
-
-    private boolean hostUp(String host) {
-        return !hostsDown.contains(host);
-    }
-
-    private void addHostIfMissing(String host) {
-        if (!hostUp(host)) {
-            hostsDown.remove(host);
-            session.addHost(host);
-        }
-    }
-
     private void cancelSomeJobs() {
         for (DrawnJob job : jobs) {
-            if (hostUp("h1") && random.nextInt(4) == 0) {
+            if (hosts.up("h1") && random.nextInt(4) == 0) {
                 job.markCancelled();
                 session.call("h1", new CallerOperation.Cancel(), job.path());
             }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
@@ -9,7 +9,8 @@
 
 /**
  * Plays sessions with drawn jobs and disruptions, in which best-effort tasks interfere with latency-critical ones. The
- * properties {@code idleJob.seeds} and {@code idleJob.closingSeeds} select other seeds, such as {@code 0-999}.
+ * properties {@code idleJob.seeds} and {@code idleJob.closingSeeds} select other seeds, such as {@code 0-999}, and
+ * {@code idleJob.listingSeeds} and {@code idleJob.listingClosingSeeds} those of sessions with the platform's list of workers.
  */
 final class IdleJobSessionTest {
 
@@ -17,6 +18,19 @@
 
     private static final String CLOSING_SEEDS_PROPERTY = "idleJob.closingSeeds";
 
+    private static final String LISTING_SEEDS_PROPERTY = "idleJob.listingSeeds";
+
+    private static final String LISTING_CLOSING_SEEDS_PROPERTY = "idleJob.listingClosingSeeds";
+
+    /**
+     * In these, the host of the former owner and workers are lost for good, and each listing lacked a worker that had just
+     * begun to answer or had ended since it answered, so that runs on the lost workers stayed open for 10.4 s.
+     */
+    private static final long[] LISTING_SEEDS = {3065, 3197};
+
+    /** As {@link #LISTING_SEEDS}, after a closing. */
+    private static final long[] LISTING_CLOSING_SEEDS = {4036};
+
     /** In these, many jobs lose their tasks in the closing, and each has one at work again in time. */
     private static final long[] CLOSING_SEEDS = {50025, 50059, 50060};
 
@@ -62,6 +76,14 @@
         return seeds(CLOSING_SEEDS_PROPERTY, CLOSING_SEEDS);
     }
 
+    static LongStream listingSeeds() {
+        return seeds(LISTING_SEEDS_PROPERTY, LISTING_SEEDS);
+    }
+
+    static LongStream listingClosingSeeds() {
+        return seeds(LISTING_CLOSING_SEEDS_PROPERTY, LISTING_CLOSING_SEEDS);
+    }
+
     private static LongStream seeds(String property, long... committed) {
         String range = System.getProperty(property);
         if (range == null) {
@@ -93,6 +115,19 @@
         play(DrawnSession.withClosing(seed), seed);
     }
 
+    /** Guards against idle jobs, and against second runs, where the platform's list has faults and workers are replaced. */
+    @ParameterizedTest
+    @MethodSource("listingSeeds")
+    void noJobIsIdleOrRunsTwiceWhileThePlatformListsItsWorkers(long seed) {
+        playWithListing(DrawnSession.withListing(seed), seed);
+    }
+
+    @ParameterizedTest
+    @MethodSource("listingClosingSeeds")
+    void noJobIsIdleOrRunsTwiceAfterAClosingWhileThePlatformListsItsWorkers(long seed) {
+        playWithListing(DrawnSession.withListingAndClosing(seed), seed);
+    }
+
     @ParameterizedTest
     @MethodSource("lostWorkerClosingSeeds")
     void noJobIsIdleAfterAClosingWhoseLostRunsASuccessorTakesForOpen(long seed) {
@@ -111,6 +146,11 @@
         assertThat(new DrawnSession(30163).play().violations()).isEmpty();
     }
 
+    private static void playWithListing(DrawnSession session, long seed) {
+        play(session, seed);
+        assertThat(session.secondRuns()).isEmpty();
+    }
+
     private static IdleJobCheck play(DrawnSession session, long seed) {
         IdleJobCheck check = session.play();
         System.out.printf(
