Start best-effort tasks of idle jobs beside long-running reservations

Cause: a worker that is reserved for a long-running task takes no best-effort task. Two long-running tasks neither of which needs less of everything than the other reserve a worker each, for 1.5 s until short tasks are preempted, and the next two follow in the same pass.

Change: StarvedTaskPlanner, which starts tasks of idle jobs at the lowest speed, no longer heeds a reservation for a long-running task that still has its memory and accelerators beside the best-effort task; reservations for isolation and for moves hold, and all hold for suspects and other short tasks. Preemption for processor time stops no best-effort tasks, which free none.

WorkerReservationTest: 3 new cases.

Conclusion: the idle time of such a job no longer depends on the number of long-running tasks.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PreemptionPlanner.java
@@ -102,7 +102,7 @@
         List<Run> candidates = new ArrayList<>();
         for (Run run : worker.runs()) {
             boolean canStop = run.phase() == RunPhase.RUNNING || run.phase() == RunPhase.SENT;
-            if (canStop && !run.task().step().spec().lasting()) {
+            if (canStop && !run.task().step().spec().lasting() && freesWhatLacks(run, task, worker)) {
                 candidates.add(run);
             }
         }
@@ -118,4 +118,13 @@
         }
         return task.step().spec().reserved().fitsInto(free) ? victims : null;
     }
+
+    /** Returns whether the end of a run helps; that of a best-effort task frees no processor time. */
+    private static boolean freesWhatLacks(Run run, Task task, WorkerState worker) {
+        Resources needed = task.step().spec().reserved();
+        Resources free = worker.free();
+        boolean onlyProcessorTimeLacks =
+                needed.memoryMegabytes() <= free.memoryMegabytes() && needed.accelerators() <= free.accelerators();
+        return !onlyProcessorTimeLacks || !run.task().step().spec().fills();
+    }
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -142,7 +142,7 @@
         PlacementObstacle obstacle = placementPolicy.obstacle(task.step(), candidate);
         boolean lifted =
                 LIFTED_OBSTACLES.contains(obstacle) || candidate.quarantined() && obstacle == PlacementObstacle.NONE;
-        return lifted && !candidate.worker().reservedForOther(task, now) && candidate.admits(task);
+        return lifted && !StarvedTaskReservation.keepsOff(candidate.worker(), task, now) && candidate.admits(task);
     }
 
     private static boolean lastResort(Task task, PlacementCandidate candidate) {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerReservationTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerReservationTest.java
@@ -5,6 +5,8 @@
 import java.time.Instant;
 import java.util.List;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
+import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
+import org.flamingopitch.scheduler.model.Resources;
 import org.junit.jupiter.api.Test;
 
 /** A reservation must keep off what would take the room of its task or endanger it, and nothing else for long. */
@@ -92,4 +94,39 @@
                 .filteredOn(each -> each.reservedFor(now) != null)
                 .hasSize(1);
     }
+
+    /** A best-effort job was idle for 6.5 s while four long-running tasks in a row had each of its workers reserved. */
+    @Test
+    void bestEffortTaskOfAnIdleJobIsNotKeptOffByALongRunningTaskThatLacksProcessorTime() {
+        OwnerFixtures.run(shortTask(16_000), worker, 1);
+        reserve(moved);
+        Task bestEffort = task("b", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000));
+        assertThat(worker.reservedForOther(bestEffort, now)).isTrue();
+        assertThat(StarvedTaskReservation.keepsOff(worker, bestEffort, now)).isFalse();
+        assertThat(StarvedTaskReservation.keepsOff(worker, shortTask(1_000), now))
+                .isTrue();
+    }
+
+    @Test
+    void bestEffortTaskOfAnIdleJobIsKeptOffIfItMayCrashTheWorkerOrTheReservedTaskNeedsIsolation() {
+        reserve(moved);
+        Task suspect = task("b", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000));
+        suspect.addCrash(1, true);
+        assertThat(StarvedTaskReservation.keepsOff(worker, suspect, now)).isTrue();
+        moved.addCrash(1, true);
+        moved.addCrash(2, true);
+        Task harmless = task("c", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000));
+        assertThat(StarvedTaskReservation.keepsOff(worker, harmless, now)).isTrue();
+    }
+
+    @Test
+    void bestEffortTaskOfAnIdleJobIsKeptOffIfItWouldTakeTheMemory() {
+        StepSpec large = new StepSpecBuilder()
+                .demand(new Resources(1_000, 100_000, 0))
+                .lasting(true)
+                .build();
+        reserve(task("l", large));
+        Task bestEffort = task("b", OwnerFixtures.bestEffortStep("i", 1, 1_000, 1_000));
+        assertThat(StarvedTaskReservation.keepsOff(worker, bestEffort, now)).isTrue();
+    }
 }
