--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/StarvedTaskPlanner.java
@@ -165,7 +165,7 @@
                 LIFTED_OBSTACLES.contains(obstacle) || candidate.quarantined() && obstacle == PlacementObstacle.NONE;
         return lifted
                 && mayFollow(task, candidate)
-                && !candidate.worker().reservedForOther(task, now)
+                && !StarvedTaskReservation.keepsOff(candidate.worker(), task, now)
                 && candidate.admits(task);
     }
 
