Log the whole idle time of a job that no owner has started

Cause: idle_ms of job_idle and the metric start anew with each election, so that a series of owners hides a long wait.

Change: a run is recorded before it is started, so a job without a recorded run has been idle since its submission. For others the records do not hold when their runs ended; they count from the election as before. IdleJobLoggerTest.timeBeforeTheOwnershipIsNotCounted marks its job as started by a former owner, as this is the case that it is about.

Result: IdleJobLoggerTest and IdleJobLogSessionTest pass with two new cases, which were not run on the code before.

Conclusion: the log only; StarvedTaskPlanner still waits 2 s after an election.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IdleJobLogger.java
@@ -35,7 +35,10 @@
 
     private final OwnerMetrics metrics;
 
-    /** The start of this ownership; when runs of a former owner ended is not known. */
+    /**
+     * The start of this ownership; when runs of a former owner ended is not known. Since a run is recorded before it is
+     * started, a job without a recorded run has been idle from its submission on.
+     */
     private final Instant observedSince;
 
     private Instant lastLoggedAt = Instant.MIN;
@@ -67,7 +70,8 @@
         lastLoggedAt = now;
         List<IdleJob> idleJobs = new ArrayList<>();
         for (Job job : jobs) {
-            IdleJob idle = job.open() ? IdleJob.of(job, answering, observedSince, timeOfDayMillis, now) : null;
+            Instant knownSince = job.startedByFormerOwner() ? observedSince : Instant.MIN;
+            IdleJob idle = job.open() ? IdleJob.of(job, answering, knownSince, timeOfDayMillis, now) : null;
             if (idle != null && idle.noticeable()) {
                 idleJobs.add(idle);
             }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -32,6 +32,8 @@
     /** When the job was submitted, in milliseconds since 1970. */
     private final long submittedMillis;
 
+    private boolean startedByFormerOwner;
+
     private final List<List<Step>> occurrences = new ArrayList<>();
 
     /** The tasks of all occurrences and steps, in this order. */
@@ -201,6 +203,16 @@
         return started;
     }
 
+    /** Returns whether a former owner recorded a run of any task, so that the job may have been at work before. */
+    boolean startedByFormerOwner() {
+        return startedByFormerOwner;
+    }
+
+    void markStartedByFormerOwner() {
+        started = true;
+        startedByFormerOwner = true;
+    }
+
     void markStarted() {
         started = true;
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -93,7 +93,7 @@
     }
 
     private static void restoreTask(Job job, Task task, TaskRecord record, WorkerRegistry workerRegistry, Instant now) {
-        job.markStarted();
+        job.markStartedByFormerOwner();
         task.restoreLastRunNumber(record.run());
         record.failedRuns().forEach(task::restoreFailure);
         record.crashedRuns().forEach(number -> task.addCrash(number, true));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobLogSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobLogSessionTest.java
@@ -59,6 +59,18 @@
         assertThat(log.lines()).hasSize(lines);
     }
 
+    /** A series of owners, each of which has just been elected, must not hide how long the job has waited. */
+    @Test
+    void idleTimeOfAJobThatNeverRanSurvivesATakeover() {
+        session.killHost("h1");
+        session.store().endLeases();
+        session.addHost("h2");
+        session.advance(Duration.ofMillis(1_500));
+        assertThat(session.node("h2").ownsCell()).isTrue();
+        assertThat(session.metrics().longestIdleTime()).isGreaterThanOrEqualTo(Duration.ofSeconds(5));
+        assertThat(log.lines().get(log.lines().size() - 1)).matches(".* idle_ms=[56][0-9]{3} .*");
+    }
+
     /** A former owner that keeps its last value would show an idle job for good. */
     @Test
     void formerOwnerMeasuresNoIdleTime() {
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IdleJobLoggerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IdleJobLoggerTest.java
@@ -237,12 +237,22 @@
     void timeBeforeTheOwnershipIsNotCounted() {
         IdleJobLogger successor = new IdleJobLogger(placementPolicy, metrics, NOW);
         Job job = job("j", step(1).build(), NOW.minusSeconds(60));
+        job.markStartedByFormerOwner();
         log(successor, NOW.plusMillis(1_900), job);
         assertThat(log.lines()).isEmpty();
         log(successor, NOW.plusSeconds(4), job);
         assertThat(log.lines()).singleElement().asString().contains(" idle_ms=4000 ");
     }
 
+    /** Otherwise a series of owners hides that the job waits; it has no run by the records, so nothing was at work. */
+    @Test
+    void timeBeforeTheOwnershipIsCountedIfNoRunWasRecorded() {
+        IdleJobLogger successor = new IdleJobLogger(placementPolicy, metrics, NOW);
+        Job job = job("j", step(1).build(), NOW.minusSeconds(60));
+        log(successor, NOW.plusMillis(100), job);
+        assertThat(log.lines()).singleElement().asString().contains(" idle_ms=60100 ");
+    }
+
     @Test
     void endedJobIsNotLogged() {
         Job job = idleJob();
