Forget that a worker was kept open once no idle job needs it

Cause: openSince of IsolationPlanner keeps the time of the first need while any task awaits isolation. A worker that is needed again later is closed at once.

Change: each pass forgets the workers that no idle job needs any more.

Result: workerStaysOpenAgainIfItIsNeededAgain fails before and passes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IsolationPlanner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/IsolationPlanner.java
@@ -59,6 +59,7 @@
                 .filter(worker ->
                         usable.test(worker) && !placementPolicy.quarantined(worker, now) && !isolates(worker, now))
                 .toList();
+        openSince.keySet().removeIf(worker -> !neededByIdleJob(worker));
     }
 
     /** Forgets which workers were kept open; no task awaits isolation. */
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IsolationPlannerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/IsolationPlannerTest.java
@@ -134,6 +134,17 @@
         assertThat(planner.mayClose(worker, later)).isTrue();
     }
 
+    /** A time from an earlier need would leave no gap for the present one. */
+    @Test
+    void workerStaysOpenAgainIfItIsNeededAgain() {
+        planner.startPass(List.of(idleStep()), List.of(worker), each -> true, now);
+        assertThat(planner.mayClose(worker, now)).isFalse();
+        planner.startPass(List.of(), List.of(worker), each -> true, now.plusSeconds(1));
+        Instant later = now.plusSeconds(60);
+        planner.startPass(List.of(idleStep()), List.of(worker), each -> true, later);
+        assertThat(planner.mayClose(worker, later)).isFalse();
+    }
+
     @Test
     void workerIsClosedAtOnceIfAnotherOneIsOpenToTheIdleJob() {
         WorkerState other = OwnerFixtures.worker("v", 4_000);
