Do not reject a list of machines because it was slow

Cause: a listing counted as partial 2.5 s after its request, also if nobody doubts that it is complete, so that no listing counts while each one takes longer.

Change: the time starts when the listing is received, and ends only a doubt.

Result: slowListingsProveThatAWorkerIsGone fails before and passes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -152,7 +152,7 @@
                 .toList();
         List<WorkerState> old =
                 absent.stream().filter(worker -> !young.contains(worker)).toList();
-        doubtful = new DoubtfulListing(live, requestedAt, young, old);
+        doubtful = new DoubtfulListing(live, requestedAt, context.now(), young, old);
         old.forEach(prober);
         settleDoubtfulListing(context.now());
     }
@@ -163,9 +163,10 @@
      */
     private void settleDoubtfulListing(Instant now) {
         Instant requestedAt = doubtful.requestedAt();
+        boolean unsettled = doubtful.old().stream().anyMatch(answering);
         boolean partial = doubtful.old().stream().anyMatch(worker -> worker.answeredSince(requestedAt))
-                || now.isAfter(requestedAt.plus(MAX_DOUBT));
-        if (!partial && doubtful.old().stream().anyMatch(answering)) {
+                || unsettled && now.isAfter(doubtful.receivedAt().plus(MAX_DOUBT));
+        if (!partial && unsettled) {
             return;
         }
         DoubtfulListing settled = doubtful;
@@ -228,9 +229,14 @@
      *
      * @param live the workers that it has
      * @param requestedAt when it was requested
+     * @param receivedAt when it was received
      * @param young the workers that answered and that a sound listing may lack
      * @param old the other workers that answered and that it lacks
      */
     private record DoubtfulListing(
-            Set<WorkerId> live, Instant requestedAt, List<WorkerState> young, List<WorkerState> old) {}
+            Set<WorkerId> live,
+            Instant requestedAt,
+            Instant receivedAt,
+            List<WorkerState> young,
+            List<WorkerState> old) {}
 }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeLiveWorkers.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeLiveWorkers.java
@@ -23,6 +23,8 @@
 
     private boolean failing;
 
+    private Duration latency = CellSession.CALL_LATENCY;
+
     /** Changes the true listing. */
     private UnaryOperator<Set<WorkerId>> distortion = UnaryOperator.identity();
 
@@ -46,6 +48,11 @@
         failing = isFailing;
     }
 
+    /** Sets how long it takes from the request of a listing to its answer. */
+    void setLatency(Duration newLatency) {
+        latency = newLatency;
+    }
+
     /** Sets what the listings contain instead of the workers that run. */
     void setDistortion(UnaryOperator<Set<WorkerId>> change) {
         distortion = change;
@@ -86,7 +93,7 @@
         return Optional.of(handler -> {
             callMillis.add(clockMillis);
             LiveWorkerListing listing = list(workers, clockMillis);
-            answers.accept(CellSession.CALL_LATENCY, () -> handler.accept(listing));
+            answers.accept(latency, () -> handler.accept(listing));
         });
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/LostWorkerSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/LostWorkerSessionTest.java
@@ -164,6 +164,17 @@
         assertThat(session.worker(otherWorker()).running()).hasSize(1);
     }
 
+    /** Guards against the rejection of each listing that takes longer than a doubt about its completeness may last. */
+    @Test
+    void slowListingsProveThatAWorkerIsGone() {
+        start();
+        session.liveWorkers().setLatency(Duration.ofMillis(2_600));
+        session.removeWorker(worker);
+        session.killHost(former);
+        session.advance(Duration.ofSeconds(10));
+        assertThat(session.worker(otherWorker()).running()).hasSize(1);
+    }
+
     /** Guards against calls on a calm day, since each one is charged. */
     @Test
     void nothingIsAskedOnACalmDay() {
