Count a crash of a worker that is lost before it answers a start

Cause: a run whose start may still be carried out does not end with its worker, and the platform was asked only about workers with other runs. Such a run ended with the lease, which counts no crash: a task that crashes each worker before it answers the start was started for ever if the workers do not come back.

Change: the platform is asked about these workers too. The run still ends with the lease, but as a crash if the worker's process is known to have ended.

Counting what only a former owner knew would make suspects of all tasks on the workers that a loss of power takes, so that it needs a count of its own.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -220,7 +220,9 @@
     private List<WorkerState> silentWorkers() {
         return workers.stream()
                 .filter(worker -> !answering.test(worker))
-                .filter(worker -> worker.runs().stream().anyMatch(Run::endsWithWorker))
+                .filter(worker -> worker.runs().stream()
+                        .anyMatch(run ->
+                                run.endsWithWorker() || run.phase() != RunPhase.PLANNED && !worker.processEnded()))
                 .toList();
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -239,7 +239,7 @@
         }
         List<Run> ended = endRuns(worker, WorkerRegistry::started, "worker lease expired");
         if (!ended.isEmpty()) {
-            listener.onWorkerLapsed(worker, ended);
+            recordEndedRuns(worker, ended);
         }
         if (!worker.leaseExpired()) {
             worker.markLeaseExpired();
@@ -248,12 +248,20 @@
     }
 
     /**
-     * Ends the runs of a worker whose process has ended, whatever lease it holds. A worker that has answered this owner
-     * has crashed under its runs; when one ended that only a former owner knew is not known.
+     * Ends the runs of a worker whose process has ended, whatever lease it holds. A run whose start may still be carried
+     * out, by a process that follows under the worker's id, ends with the lease.
      */
     private void endRunsOfEndedWorker(WorkerState worker) {
-        List<Run> ended = endRuns(worker, Run::endsWithWorker, "worker gone");
-        if (worker.hasReported()) {
+        worker.markProcessEnded();
+        recordEndedRuns(worker, endRuns(worker, Run::endsWithWorker, "worker gone"));
+    }
+
+    /**
+     * Passes on which runs have ended with their worker. One that has answered this owner and whose process has ended has
+     * crashed under them; when one ended that only a former owner knew is not known.
+     */
+    private void recordEndedRuns(WorkerState worker, List<Run> ended) {
+        if (worker.processEnded() && worker.hasReported()) {
             listener.onWorkerCrashed(worker, ended);
         } else {
             listener.onWorkerLapsed(worker, ended);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -75,6 +75,9 @@
 
     private boolean leaseExpired;
 
+    /** Whether the platform no longer runs the worker's process. */
+    private boolean processEnded;
+
     /** The task that the free capacity is reserved for until {@link #reservedUntil}, or null. */
     private Task reservationTask;
 
@@ -226,6 +229,7 @@
         incarnation = newIncarnation;
         hasReported = true;
         leaseExpired = false;
+        processEnded = false;
         recordClock(newClockMillis, now);
         return restarted;
     }
@@ -285,6 +289,15 @@
         leaseExpired = true;
     }
 
+    /** Returns whether the worker's process is known to have ended, and no other one has answered under its id since. */
+    boolean processEnded() {
+        return processEnded;
+    }
+
+    void markProcessEnded() {
+        processEnded = true;
+    }
+
     List<Run> runs() {
         return runs;
     }
