Give the running tasks of a simulated worker a fixed order

Cause: FakeWorker.running returned Set.copyOf, whose order differs from one process to the next, and drawn sessions draw ends in this order.

Change: the order is that of the starts.

Whether the committed seeds still fail on the code that they were found on was not run.

Conclusion: a failing seed can be repeated.

--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -1,7 +1,9 @@
 package org.flamingopitch.scheduler.cell;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -324,12 +326,12 @@
     }
 
     /**
-     * Returns the running tasks.
+     * Returns the running tasks in an order that does not differ from one process to the next.
      *
      * @return the tasks
      */
     public Set<TaskRef> running() {
-        return Set.copyOf(running.keySet());
+        return Collections.unmodifiableSet(new LinkedHashSet<>(running.keySet()));
     }
 
     /**
