Name what the detector of ended workers keeps, and say why a listing is rejected

Cause: the review stumbled over late and unlisted, over two methods of one name in FormerLeases, and over live_workers_incomplete without a cause.

Conclusion: no behaviour changes.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -75,10 +75,10 @@
      * The silent workers that the last sound listing did not contain, and no listing since, with the time of the request
      * of that listing.
      */
-    private Map<WorkerId, Instant> unlisted = new HashMap<>();
+    private Map<WorkerId, Instant> absentSilent = new HashMap<>();
 
     /** The young workers that the last sound listing did not contain, and no listing since. */
-    private final Set<WorkerId> late = new HashSet<>();
+    private final Set<WorkerId> absentYoung = new HashSet<>();
 
     /**
      * Creates a detector.
@@ -141,8 +141,8 @@
             return;
         }
         Set<WorkerId> live = ((LiveWorkerListing.Listed) listing).workers();
-        unlisted.keySet().removeAll(live);
-        late.removeAll(live);
+        absentSilent.keySet().removeAll(live);
+        absentYoung.removeAll(live);
         Instant youngSince = requestedAt.minus(MAX_LISTING_LAG);
         List<WorkerState> absent = answeringWorkers().stream()
                 .filter(worker -> !live.contains(worker.id()))
@@ -177,28 +177,30 @@
                         && !knownSince.apply(worker).isAfter(youngSince));
         if (partial || !confirmed) {
             LOGGER.atWarning().log(
-                    "event=live_workers_incomplete live_workers=%d absent=%d",
-                    settled.live().size(), settled.old().size());
+                    "event=live_workers_incomplete cause=\"%s\" live_workers=%d absent=%d",
+                    partial ? "a worker that answers is absent" : "no worker that answers confirms it",
+                    settled.live().size(),
+                    settled.old().size());
             return;
         }
-        if (!late.isEmpty()) {
+        if (!absentYoung.isEmpty()) {
             // A listing that was only late would be followed by one with these workers, so the last one was partial.
-            LOGGER.atWarning().log("event=live_workers_doubted late=%d", late.size());
-            unlisted.clear();
-            late.clear();
+            LOGGER.atWarning().log("event=live_workers_doubted late=%d", absentYoung.size());
+            absentSilent.clear();
+            absentYoung.clear();
         }
-        settled.young().forEach(worker -> late.add(worker.id()));
+        settled.young().forEach(worker -> absentYoung.add(worker.id()));
         endAbsentWorkers(settled.live(), requestedAt);
     }
 
     private void endAbsentWorkers(Set<WorkerId> live, Instant requestedAt) {
-        Map<WorkerId, Instant> absentBefore = unlisted;
-        unlisted = new HashMap<>();
+        Map<WorkerId, Instant> absentBefore = absentSilent;
+        absentSilent = new HashMap<>();
         for (WorkerState worker : silentWorkers()) {
             if (live.contains(worker.id()) || worker.answeredSince(requestedAt)) {
                 continue;
             }
-            unlisted.put(worker.id(), requestedAt);
+            absentSilent.put(worker.id(), requestedAt);
             Instant before = absentBefore.get(worker.id());
             if (before != null && !worker.answeredSince(before)) {
                 LOGGER.atWarning().log(
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerLeases.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/FormerLeases.java
@@ -113,7 +113,7 @@
         logBounds("ledger_read");
         report();
         for (NamedOwner each : List.copyOf(namedOwners.values())) {
-            stopMonitor.accept(each.owner(), stoppedAt -> recordStopped(each.owner(), stoppedAt));
+            stopMonitor.accept(each.owner(), stoppedAt -> recordNamedOwnerStopped(each.owner(), stoppedAt));
         }
     }
 
@@ -146,7 +146,7 @@
         report();
     }
 
-    private void recordStopped(OwnerRecord formerOwner, Instant stoppedAt) {
+    private void recordNamedOwnerStopped(OwnerRecord formerOwner, Instant stoppedAt) {
         Instant leaseExpiry = expiryAfter(stoppedAt);
         namedOwners.computeIfPresent(formerOwner.process(), (id, named) -> named.withEarlierExpiry(leaseExpiry));
         logStopped(formerOwner, stoppedAt);
