Record the new names that leave the process

The record beside the ledger was not among the names that it compares.

Result: OuterNamesTest passes.

--- a/daemon/src/test/java/org/flamingopitch/daemon/cell/OuterNamesTest.java
+++ b/daemon/src/test/java/org/flamingopitch/daemon/cell/OuterNamesTest.java
@@ -168,6 +168,7 @@
         for (String name : List.of("JobRecord", "ProgressRecord", "LearnedRecord", "OwnerRecord")) {
             addStored("record of the cell", Class.forName(ownerPackage + "." + name), JsonCodec.compact());
         }
+        addStored("record of the cell", Class.forName(ownerPackage + ".FormerOwnersRecord"), JsonCodec.json());
         for (Class<?> type : List.of(ConfigEnvelope.class, Member.class, OwnershipMap.class, Configuration.class)) {
             addStored("record of the store", type, JsonCodec.json());
         }
