Look for silent workers ten times a second, and not at each event

Cause: the detector of ended workers walked all workers and allocated lists at each tick, which comes after each event.

Change: a check every 100 ms.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -32,6 +32,9 @@
      */
     private static final Duration FIRST_LISTING_DELAY = Duration.ofMillis(1_000);
 
+    /** Ticks come after each event, and a check walks all workers. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
     /**
      * The time between the requests of two listings. Two of them must agree, since the pages of a listing are not a
      * snapshot, and a worker that has just started may not be listed yet.
@@ -59,6 +62,8 @@
 
     private final Consumer<WorkerState> endHandler;
 
+    private Instant nextCheckAt = Instant.MIN;
+
     private Instant nextAt = Instant.MIN;
 
     private boolean callInFlight;
@@ -111,6 +116,10 @@
     /** Requests a listing if one is due. Called at regular intervals once the records of former owners are loaded. */
     void tick() {
         Instant now = context.now();
+        if (now.isBefore(nextCheckAt)) {
+            return;
+        }
+        nextCheckAt = now.plus(CHECK_INTERVAL);
         if (doubtful != null) {
             settleDoubtfulListing(now);
         }
