Trust no listing about a worker that answered while most workers are silent

Change: the listing counts against such a worker only if at least half of the workers that are listed in the store answer.

Conclusion: a task must not run twice; the wait for the lease is the lesser harm.

--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/EndedWorkerDetector.java
@@ -203,10 +203,13 @@
     }
 
     private void endAbsentWorkers(Set<WorkerId> live, Instant requestedAt) {
+        // If most workers are silent, this owner may be cut off from them, and few are left to show a partial listing.
+        boolean mostAnswer = 2 * answeringWorkers().size() >= countListedWorkers();
         Map<WorkerId, Instant> absentBefore = absentSilent;
         absentSilent = new HashMap<>();
         for (WorkerState worker : silentWorkers()) {
-            if (live.contains(worker.id()) || worker.answeredSince(requestedAt)) {
+            boolean doubted = worker.clockKnown() && !mostAnswer;
+            if (doubted || live.contains(worker.id()) || worker.answeredSince(requestedAt)) {
                 continue;
             }
             absentSilent.put(worker.id(), requestedAt);
@@ -228,6 +231,12 @@
                 .toList();
     }
 
+    private long countListedWorkers() {
+        return workers.stream()
+                .filter(worker -> worker.registered() && !worker.missingFor(Duration.ZERO, context.now()))
+                .count();
+    }
+
     private List<WorkerState> silentWorkers() {
         return workers.stream()
                 .filter(worker -> !answering.test(worker))
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/IdleJobSessionTest.java
@@ -122,6 +122,12 @@
         playWithListing(DrawnSession.withListing(seed), seed);
     }
 
+    /** All workers are silent, and two listings lack the page of one that runs on. */
+    @Test
+    void noTaskRunsTwiceIfListingsLackAPageWithSilentWorkersOnly() {
+        playWithListing(DrawnSession.withListing(230014), 230014);
+    }
+
     @ParameterizedTest
     @MethodSource("listingClosingSeeds")
     void noJobIsIdleOrRunsTwiceAfterAClosingWhileThePlatformListsItsWorkers(long seed) {
