--- /dev/null
+++ b/review/standins-2/Review.java
@@ -0,0 +1,147 @@
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Plays one case: the arguments are its name, the root of the project and the case's folder. */
+public final class Review {
+
+    private static final int HELD = 0;
+
+    private static final int BROKEN = 1;
+
+    private static final int NOT_RUN = 2;
+
+    private static final long LIMIT_MILLIS = 110_000;
+
+    private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+
+    private final Deployment deployment;
+
+    private final Ledger ledger;
+
+    private Review(Deployment deployment) {
+        this.deployment = deployment;
+        this.ledger = deployment.ledger();
+    }
+
+    public static void main(String[] args) throws Exception {
+        Path record = Path.of(args[2], "record.txt");
+        Ledger ledger = new Ledger(record);
+        Thread limit = new Thread(() -> {
+            Clock.pause(LIMIT_MILLIS);
+            ledger.line("the case takes too long");
+            System.exit(NOT_RUN);
+        });
+        limit.setDaemon(true);
+        limit.start();
+        int result = NOT_RUN;
+        try (Deployment deployment = new Deployment(Path.of(args[1]), ledger)) {
+            ledger.line("case %s, %s disruption; outputs of the hosts: a temporary folder", args[0],
+                    TROUBLE ? "with the" : "without the");
+            if (System.getenv("KEEP_LOGS") != null) {
+                System.err.println(deployment.logs());
+            }
+            Review review = new Review(deployment);
+            List<String> broken = args[0].equals("restart") ? review.restartOfIdleWorker() : review.threeCrashes();
+            broken.forEach(each -> ledger.line("BROKEN %s", each));
+            result = broken.isEmpty() ? HELD : BROKEN;
+        } catch (Exception e) {
+            ledger.line("the case could not run: %s", e);
+        }
+        ledger.line("exit %d", result);
+        System.out.println(args[0] + (TROUBLE ? "" : " (TROUBLE=0)") + ": exit " + result);
+        Runtime.getRuntime().halt(result);
+    }
+
+    private static void require(boolean condition, String what) {
+        if (!condition) {
+            throw new IllegalStateException(what);
+        }
+    }
+
+    /** A worker without work starts again under its id; then short tasks are placed there. */
+    private List<String> restartOfIdleWorker() throws Exception {
+        for (int i = 0; i < 7; i++) {
+            deployment.addWorker("r1-" + (1 + i), Deployment.FAR_ZONE);
+        }
+        deployment.start();
+        Worker worker = deployment.workers().get(3);
+        Map<String, Object> step = Json.map(
+                "count", 32, "cpu", 500, "memMb", 256, "estimatedMs", 300, "affinity", "r1-4");
+        for (int i = 0; i < 2; i++) {
+            String first = deployment.newJobId();
+            require(deployment.submit(first, "work=250", step), "the first job is not accepted");
+            require(deployment.awaitState(first, 15_000, List.of("done")).equals("done"), "the first job is not done");
+        }
+        for (int i = 0; i < 50 && worker.unseenEnds() > 0; i++) {
+            Clock.pause(100);
+        }
+        require(worker.unseenEnds() == 0, "ends are not seen");
+        // Lets the answer to the last call arrive, so that the worker is idle when it crashes.
+        Clock.pause(2_000);
+        if (TROUBLE) {
+            String id = worker.id();
+            worker.crash();
+            Clock.pause(1_000);
+            worker.start(id);
+        }
+        Clock.pause(3_000);
+        String second = deployment.newJobId();
+        require(deployment.submit(second, "work=250", step), "the second job is not accepted");
+        deployment.awaitState(second, 20_000, List.of("done"));
+        Clock.pause(1_000);
+        return ledger.startedTwice();
+    }
+
+    /** Three workers crash, one after the other, each soon after it has started the task of a job that lasts. */
+    private List<String> threeCrashes() throws Exception {
+        for (int i = 0; i < 7; i++) {
+            deployment.addWorker("r1-" + (1 + i / 4), Deployment.ZONE);
+        }
+        deployment.start();
+        String id = deployment.newJobId();
+        Map<String, Object> step =
+                Json.map("count", 1, "cpu", 3_000, "memMb", 1_024, "estimatedMs", 300, "longRunning", true);
+        require(deployment.submit(id, "lasts", step), "the job is not accepted");
+        for (int crash = 0; crash < 3 && TROUBLE; crash++) {
+            Worker running = awaitWorkerOf(id);
+            if (running == null) {
+                break;
+            }
+            Clock.pause(300);
+            String former = running.id();
+            running.crash();
+            Thread expiry = new Thread(() -> running.expireEntry(former));
+            expiry.setDaemon(true);
+            expiry.start();
+            Clock.pause(1_000);
+            running.start(deployment.newId());
+        }
+        Clock.pause(12_000);
+        String state = deployment.state(0, id);
+        boolean runs = deployment.workers().stream().anyMatch(worker -> worker.runs(id));
+        ledger.line("the job is shown as %s, a worker runs it: %s; %d of its runs ended as failed",
+                state, runs, ledger.ends("failed"));
+        List<String> broken = new ArrayList<>();
+        if (List.of("failed", "cancelled", "done").contains(state)) {
+            broken.add("LOST: a job that lasts and that nobody cancelled is shown as " + state);
+        } else if (!runs) {
+            broken.add("LOST: a job that lasts has nothing running");
+        }
+        return broken;
+    }
+
+    private Worker awaitWorkerOf(String job) {
+        for (int i = 0; i < 1_500; i++) {
+            for (Worker worker : deployment.workers()) {
+                if (worker.runs(job)) {
+                    return worker;
+                }
+            }
+            Clock.pause(10);
+        }
+        return null;
+    }
+}
