--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -39,6 +39,8 @@
 
         private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
+        private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+
         private volatile ServerSocket listener;
 
         /** Creates a server; oneWayMillis is the delay of the link in each direction. */
@@ -69,6 +71,12 @@
             connections.clear();
         }
 
+        /** Makes all open connections silent for good: what comes in is not read any more, and nothing is sent. */
+        int silence() {
+            silent.addAll(connections);
+            return connections.size();
+        }
+
         private void accept(ServerSocket socket) {
             while (!socket.isClosed()) {
                 try {
@@ -96,13 +104,13 @@
                     if (connection.isClosed()) {
                         return;
                     }
-                    Answer answer = handler.handle(request);
-                    if (answer == null) {
+                    Answer answer = silent.contains(connection) ? null : handler.handle(request);
+                    Thread.sleep(oneWayMillis);
+                    if (answer == null || silent.contains(connection)) {
                         // Nothing follows on a connection with a lost answer.
                         Thread.sleep(120_000);
                         break;
                     }
-                    Thread.sleep(oneWayMillis);
                     byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
                     String head = "HTTP/1.1 " + answer.status() + " Status\r\nContent-Type: application/json\r\n"
                             + "Content-Length: " + body.length + "\r\n\r\n";
@@ -118,6 +126,7 @@
                 System.err.println(address + ": " + e);
             } finally {
                 connections.remove(connection);
+                silent.remove(connection);
                 close(connection);
             }
         }
--- a/review/standins-2/Ledger.java
+++ b/review/standins-2/Ledger.java
@@ -54,6 +54,41 @@
         }
     }
 
+    /**
+     * Returns the lapses that break the rule AVAIL: those of a job's tasks from a time on at which no disruption is near,
+     * while as many others as may be away have ended by such a lapse and do not run.
+     */
+    synchronized List<String> unavailable(String job, int maxUnavailable, long calmFrom) {
+        List<String> broken = new ArrayList<>();
+        runs.forEach((task, each) -> {
+            for (Run run : each) {
+                if (!task.startsWith(job) || !"lapsed".equals(run.how) || run.endedAt < calmFrom) {
+                    continue;
+                }
+                long away = runs.keySet().stream()
+                        .filter(other -> other.startsWith(job) && !other.equals(task))
+                        .filter(other -> awayByLapse(runs.get(other), run.endedAt, calmFrom))
+                        .count();
+                if (away >= maxUnavailable) {
+                    broken.add(String.format(
+                            "AVAIL: the lease of %s/%d on %s lapses at %d ms while %d others of its step are away",
+                            task, run.number, run.worker, run.endedAt, away));
+                }
+            }
+        });
+        return broken;
+    }
+
+    private static boolean awayByLapse(List<Run> each, long moment, long calmFrom) {
+        boolean away = false;
+        for (Run run : each) {
+            if (run.startedAt <= moment) {
+                away = "lapsed".equals(run.how) && run.endedAt <= moment && run.endedAt >= calmFrom;
+            }
+        }
+        return away;
+    }
+
     private Run find(String task, long number, String worker, long born) {
         for (Run run : runs.get(task)) {
             if (run.number == number && run.worker.equals(worker) && run.born == born) {
--- a/review/standins-2/Review.java
+++ b/review/standins-2/Review.java
@@ -13,6 +13,8 @@
 
     private static final int NOT_RUN = 2;
 
+    private static final long CONTACT_MILLIS = 4_000;
+
     private static final long LIMIT_MILLIS = 110_000;
 
     private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
@@ -44,7 +46,7 @@
                 System.err.println(deployment.logs());
             }
             Review review = new Review(deployment);
-            List<String> broken = args[0].equals("restart") ? review.restartOfIdleWorker() : review.threeCrashes();
+            List<String> broken = review.play(args[0]);
             broken.forEach(each -> ledger.line("BROKEN %s", each));
             result = broken.isEmpty() ? HELD : BROKEN;
         } catch (Exception e) {
@@ -55,6 +57,19 @@
         Runtime.getRuntime().halt(result);
     }
 
+    private List<String> play(String name) throws Exception {
+        switch (name) {
+            case "restart":
+                return restartOfIdleWorker();
+            case "crashes":
+                return threeCrashes();
+            case "silent":
+                return silentConnections();
+            default:
+                throw new IllegalArgumentException("no case " + name);
+        }
+    }
+
     private static void require(boolean condition, String what) {
         if (!condition) {
             throw new IllegalStateException(what);
@@ -133,6 +148,34 @@
         return broken;
     }
 
+    /** The open connections to the workers go silent, while a job that lasts has a task on each of three workers. */
+    private List<String> silentConnections() throws Exception {
+        for (int i = 0; i < 7; i++) {
+            deployment.addWorker("r1-" + (1 + i / 4), Deployment.ZONE);
+        }
+        deployment.start();
+        String lasting = deployment.newJobId();
+        Map<String, Object> step = Json.map(
+                "count", 3, "cpu", 3_000, "memMb", 1_024, "estimatedMs", 300, "longRunning", true,
+                "antiAffinity", 1, "maxUnavailable", 1);
+        require(deployment.submit(lasting, "lasts", step), "the job that lasts is not accepted");
+        for (int i = 0; i < 3; i++) {
+            String id = deployment.newJobId();
+            Map<String, Object> wide = Json.map("count", 36, "cpu", 1_600, "memMb", 512, "estimatedMs", 500);
+            require(deployment.submit(id, "work=500", wide), "a job is not accepted");
+            require(deployment.awaitState(id, 15_000, List.of("done")).equals("done"), "a job is not done");
+        }
+        Clock.pause(5_000);
+        long silentAt = Clock.millis();
+        if (TROUBLE) {
+            for (Worker worker : deployment.workers()) {
+                ledger.line("worker %s: %d open connections go silent", worker.machine(), worker.silence());
+            }
+        }
+        Clock.pause(15_000);
+        return ledger.unavailable(lasting, 1, silentAt + CONTACT_MILLIS);
+    }
+
     private Worker awaitWorkerOf(String job) {
         for (int i = 0; i < 1_500; i++) {
             for (Worker worker : deployment.workers()) {
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -90,6 +90,11 @@
         server.stop();
     }
 
+    /** Makes the open connections silent; returns how many. */
+    int silence() {
+        return server.silence();
+    }
+
     synchronized String id() {
         return life == null ? null : life.id;
     }
