--- a/review/standins-2/Review.java
+++ b/review/standins-2/Review.java
@@ -13,6 +13,8 @@
 
     private static final int NOT_RUN = 2;
 
+    private static final long FINISH_MILLIS = 14_000;
+
     private static final long CONTACT_MILLIS = 4_000;
 
     private static final long LIMIT_MILLIS = 110_000;
@@ -63,6 +65,8 @@
                 return restartOfIdleWorker();
             case "crashes":
                 return threeCrashes();
+            case "idle":
+                return silentIdleConnections();
             case "silent":
                 return silentConnections();
             default:
@@ -176,6 +180,43 @@
         return ledger.unavailable(lasting, 1, silentAt + CONTACT_MILLIS);
     }
 
+    /** The connections to the workers go silent while nothing runs; later the last job of the traffic is handed in. */
+    private List<String> silentIdleConnections() throws Exception {
+        for (int i = 0; i < 7; i++) {
+            deployment.addWorker("r1-" + (1 + i / 4), Deployment.ZONE);
+        }
+        deployment.start();
+        for (int i = 0; i < 3; i++) {
+            String id = deployment.newJobId();
+            Map<String, Object> wide = Json.map("count", 36, "cpu", 3_000, "memMb", 512, "estimatedMs", 500);
+            require(deployment.submit(id, "work=500", wide), "a job is not accepted");
+            require(deployment.awaitState(id, 15_000, List.of("done")).equals("done"), "a job is not done");
+        }
+        Clock.pause(5_000);
+        if (TROUBLE) {
+            for (Worker worker : deployment.workers()) {
+                ledger.line("worker %s: %d open connections go silent", worker.machine(), worker.silence());
+            }
+        }
+        Clock.pause(10_000);
+        String last = deployment.newJobId();
+        Map<String, Object> step = Json.map("count", 1, "cpu", 3_000, "memMb", 1_024, "estimatedMs", 1_000);
+        require(deployment.submit(last, "work=1000", step), "the last job is not accepted");
+        ledger.line("the traffic ends");
+        Clock.pause(FINISH_MILLIS);
+        String state = deployment.state(0, last);
+        boolean idle = !state.equals("done");
+        for (int i = 0; idle && i < 300; i++) {
+            idle = deployment.workers().stream().noneMatch(worker -> worker.runs(last));
+            Clock.pause(10);
+        }
+        ledger.line("%d ms after the traffic the job is shown as %s; it had nothing running for 3 s: %s",
+                FINISH_MILLIS, state, idle);
+        String later = deployment.awaitState(last, 50_000, List.of("done"));
+        ledger.line("in the end it is shown as %s", later);
+        return idle ? List.of("LOST: after finish_s an accepted job has nothing running for 3 s, all workers are free") : List.of();
+    }
+
     private Worker awaitWorkerOf(String job) {
         for (int i = 0; i < 1_500; i++) {
             for (Worker worker : deployment.workers()) {
