--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -101,6 +101,11 @@
         return worker;
     }
 
+    /** Returns an address for workers that none has had. */
+    InetSocketAddress newAddress() throws IOException {
+        return free(subnet + (200 + random.nextInt(50)));
+    }
+
     String newId() {
         return String.format("i-%08x", random.nextInt());
     }
--- a/review/standins-2/Review.java
+++ b/review/standins-2/Review.java
@@ -1,4 +1,4 @@
-import java.nio.file.Files;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,6 +65,8 @@
                 return restartOfIdleWorker();
             case "crashes":
                 return threeCrashes();
+            case "addresses":
+                return reusedAddress();
             case "idle":
                 return silentIdleConnections();
             case "silent":
@@ -217,6 +219,51 @@
         return idle ? List.of("LOST: after finish_s an accepted job has nothing running for 3 s, all workers are free") : List.of();
     }
 
+    /**
+     * A worker without work starts again under its id at a new address, and later another one at the address that the
+     * first one has left; then each gets a task.
+     */
+    private List<String> reusedAddress() throws Exception {
+        for (int i = 0; i < 7; i++) {
+            deployment.addWorker("r1-" + (1 + i), Deployment.ZONE);
+        }
+        deployment.start();
+        String first = deployment.newJobId();
+        Map<String, Object> wide = Json.map("count", 36, "cpu", 3_000, "memMb", 512, "estimatedMs", 300);
+        require(deployment.submit(first, "work=250", wide), "the first job is not accepted");
+        require(deployment.awaitState(first, 15_000, List.of("done")).equals("done"), "the first job is not done");
+        Clock.pause(3_000);
+        Worker moved = deployment.workers().get(1);
+        Worker successor = deployment.workers().get(4);
+        if (TROUBLE) {
+            InetSocketAddress left = moved.address();
+            restart(moved, deployment.newAddress());
+            Clock.pause(3_000);
+            restart(successor, left);
+        }
+        Clock.pause(3_000);
+        Map<String, Object> longStep = Json.map(
+                "count", 1, "cpu", 3_000, "memMb", 512, "estimatedMs", 1_200, "affinity", "r1-2");
+        Map<String, Object> shortStep = Json.map(
+                "count", 1, "cpu", 3_000, "memMb", 512, "estimatedMs", 300, "affinity", "r1-5");
+        String longJob = deployment.newJobId();
+        String shortJob = deployment.newJobId();
+        require(deployment.submit(longJob, "work=1200", longStep), "the long job is not accepted");
+        require(deployment.submit(shortJob, "work=250", shortStep), "the short job is not accepted");
+        deployment.awaitState(longJob, 15_000, List.of("done"));
+        deployment.awaitState(shortJob, 15_000, List.of("done"));
+        Clock.pause(2_000);
+        return ledger.startedTwice();
+    }
+
+    private static void restart(Worker worker, InetSocketAddress address) throws Exception {
+        String id = worker.id();
+        worker.crash();
+        worker.move(address);
+        Clock.pause(1_000);
+        worker.start(id);
+    }
+
     private Worker awaitWorkerOf(String job) {
         for (int i = 0; i < 1_500; i++) {
             for (Worker worker : deployment.workers()) {
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -36,9 +36,11 @@
 
     private final Ledger ledger;
 
-    private final InetSocketAddress address;
+    private final long oneWayMillis;
 
-    private final Http.Server server;
+    private InetSocketAddress address;
+
+    private Http.Server server;
 
     /** The present life; null while the worker is down. */
     private Life life;
@@ -63,6 +65,7 @@
         this.address = address;
         this.store = store;
         this.ledger = ledger;
+        this.oneWayMillis = oneWayMillis;
         this.server = new Http.Server(address, oneWayMillis, this::handle);
         Thread thread = new Thread(this::work, "worker-" + machine);
         thread.setDaemon(true);
@@ -73,12 +76,22 @@
         return machine;
     }
 
+    synchronized InetSocketAddress address() {
+        return address;
+    }
+
+    /** Makes the next life listen at another address. */
+    synchronized void move(InetSocketAddress next) {
+        address = next;
+        server = new Http.Server(next, oneWayMillis, this::handle);
+    }
+
     /** Starts a life with an id of its own, or under the id of the last one. */
     synchronized void start(String id) throws IOException {
         lives++;
         life = new Life(id, System.currentTimeMillis());
         server.start();
-        ledger.line("worker %s: life %d starts under the id %s, born %d", machine, lives, id, life.born);
+        ledger.line("worker %s: life %d starts under the id %s, born %d, at %s", machine, lives, id, life.born, address);
         register();
     }
 
