--- a/review/standins-2/Review.java
+++ b/review/standins-2/Review.java
@@ -206,6 +206,7 @@
         require(deployment.submit(last, "work=1000", step), "the last job is not accepted");
         ledger.line("the traffic ends");
         Clock.pause(FINISH_MILLIS);
+        deployment.call(0, "GET", "", "");
         String state = deployment.state(0, last);
         boolean idle = !state.equals("done");
         for (int i = 0; idle && i < 300; i++) {
