--- a/review/standins-3/src/Cluster.java
+++ b/review/standins-3/src/Cluster.java
@@ -17,6 +17,8 @@
 
     static final String SERVICE = "huvo11a";
 
+    static final String OTHER_SERVICE = "dele69a";
+
     private static final int METRICS_PORT = 9464;
 
     private static final long READY_MILLIS = 60_000;
@@ -63,17 +65,21 @@
     }
 
     Worker addWorker(int cpu, String kind, Worker.Listener listener) throws IOException {
+        return addWorker(SERVICE, cpu, kind, listener);
+    }
+
+    Worker addWorker(String service, int cpu, String kind, Worker.Listener listener) throws IOException {
         int number = workers.size();
         Worker worker = new Worker(
-                "i-7f3a9" + (100 + number), cpu, kind, "r1-" + (1 + number / 8), SERVICE, store, record, listener);
+                "i-7f3a9" + (100 + number), cpu, kind, "r1-" + (1 + number / 8), service, store, record, listener);
         workers.add(worker);
         worker.start(worker.id, cpu, kind);
         return worker;
     }
 
-    /** Writes the configuration, starts the processes of the system and waits until all are ready. */
-    void start(int maxAttempts) throws IOException, InterruptedException {
-        ObjectNode config = Json.object().put("version", 7);
+    /** Writes a configuration with one queue, which sends its jobs to a service. */
+    void configure(int version, int maxAttempts, String service) {
+        ObjectNode config = Json.object().put("version", version);
         config.putArray("routes")
                 .addObject()
                 .put("name", "r-3hwrr6x")
@@ -83,21 +89,29 @@
                 .put("timeoutMs", 3_000)
                 .put("targetLatencyMs", 600)
                 .put("priority", 0)
-                .put("service", SERVICE)
+                .put("service", service)
                 .put("maxAttempts", maxAttempts)
                 .put("stretch", 1.5);
-        config.putArray("services")
-                .addObject()
-                .put("name", SERVICE)
-                .put("healthPath", "/health")
-                .put("maxConnections", 64)
-                .put("protocol", "h1")
-                .put("tls", false)
-                .put("rejectsOverload", false)
-                .put("standby", false);
+        ArrayNode services = config.putArray("services");
+        for (String name : List.of(SERVICE, OTHER_SERVICE)) {
+            services.addObject()
+                    .put("name", name)
+                    .put("healthPath", "/health")
+                    .put("maxConnections", 64)
+                    .put("protocol", "h1")
+                    .put("tls", false)
+                    .put("rejectsOverload", false)
+                    .put("standby", false);
+        }
         config.putObject("limits").put("maxHeaderBytes", 16_384).put("maxBodyBytes", 262_144)
                 .put("headerTimeoutMs", 3_000).put("idleTimeoutMs", 15_000);
         store.put("op/config", config.toString());
+        record.line("operator: version %d is acknowledged, the queue goes to %s", version, service);
+    }
+
+    /** Writes the configuration, starts the processes of the system and waits until all are ready. */
+    void start(int maxAttempts) throws IOException, InterruptedException {
+        configure(7, maxAttempts, SERVICE);
         for (Host host : hosts) {
             host.start();
         }
--- a/review/standins-3/src/Worker.java
+++ b/review/standins-3/src/Worker.java
@@ -64,6 +64,8 @@
 
     private HttpServer server;
 
+    private boolean draining;
+
     /** Null while the worker is down. */
     private Life life;
 
@@ -133,6 +135,19 @@
         ended.stop(0);
     }
 
+    /** The worker is emptied: it reports that it drains, serves on for a time, and then leaves for good. */
+    void leave(long drainMillis) {
+        synchronized (this) {
+            draining = true;
+            register(life);
+            record.line("worker %s: drains", id);
+        }
+        Daemon.pause(drainMillis);
+        crash();
+        store.delete("servers/" + id);
+        record.line("worker %s: has left", id);
+    }
+
     /**
      * The worker loses power and starts again under its id: nothing is answered for a time, and connections that were open
      * get no sign of it until something is sent on them.
@@ -172,7 +187,7 @@
                 .put("zone", "kol-saltlake")
                 .put("version", "v1")
                 .put("slots", 8)
-                .put("state", "ready")
+                .put("state", draining ? "draining" : "ready")
                 .put("coldRemainingMs", 0)
                 .put("clockMs", now.clock())
                 .put("born", now.born)
