--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,7 +3,7 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 timeout -k 3 115 java -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host -Dsun.net.httpserver.nodelay=true \
-    -cp target/review-3:target/flamingopitch.jar Reborn review/11
+    -cp target/review-3:target/flamingopitch.jar StaleRoute review/11
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
--- a/review/standins-3/src/Client.java
+++ b/review/standins-3/src/Client.java
@@ -23,9 +23,13 @@
 
     /** Sends a request and returns the status and the body, or status 0 if no answer came. */
     Answer call(Host host, String method, String id, String body) {
+        return call(host, PREFIX, method, id, body);
+    }
+
+    Answer call(Host host, String prefix, String method, String id, String body) {
         HttpRequest.BodyPublisher publisher =
                 body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body);
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + host.ip + ":" + host.front + PREFIX + id))
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + host.ip + ":" + host.front + prefix + id))
                 .header("Host", HOST)
                 .header("Content-Type", "application/json")
                 .header("X-Flamingopitch-Deadline-Ms", "3000")
@@ -41,7 +45,7 @@
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
         }
-        record.line("client: %s %s -> %d %s", method, id, answer.status, answer.body);
+        record.line("client: %s %s%s at %s -> %d %s", method, prefix, id, host.ip, answer.status, answer.body);
         return answer;
     }
 
--- a/review/standins-3/src/Cluster.java
+++ b/review/standins-3/src/Cluster.java
@@ -79,19 +79,26 @@
 
     /** Writes a configuration with one queue, which sends its jobs to a service. */
     void configure(int version, int maxAttempts, String service) {
+        configure(version, maxAttempts, service, Client.PREFIX);
+    }
+
+    /** Writes a configuration with one queue for each prefix. */
+    void configure(int version, int maxAttempts, String service, String... prefixes) {
         ObjectNode config = Json.object().put("version", version);
-        config.putArray("routes")
-                .addObject()
-                .put("name", "r-3hwrr6x")
-                .put("host", Client.HOST)
-                .put("prefix", Client.PREFIX)
-                .put("type", "unsafe")
-                .put("timeoutMs", 3_000)
-                .put("targetLatencyMs", 600)
-                .put("priority", 0)
-                .put("service", service)
-                .put("maxAttempts", maxAttempts)
-                .put("stretch", 1.5);
+        ArrayNode routes = config.putArray("routes");
+        for (String prefix : prefixes) {
+            routes.addObject()
+                    .put("name", "r" + prefix.replace('/', '-'))
+                    .put("host", Client.HOST)
+                    .put("prefix", prefix)
+                    .put("type", "unsafe")
+                    .put("timeoutMs", 3_000)
+                    .put("targetLatencyMs", 600)
+                    .put("priority", 0)
+                    .put("service", service)
+                    .put("maxAttempts", maxAttempts)
+                    .put("stretch", 1.5);
+        }
         ArrayNode services = config.putArray("services");
         for (String name : List.of(SERVICE, OTHER_SERVICE)) {
             services.addObject()
@@ -106,7 +113,7 @@
         config.putObject("limits").put("maxHeaderBytes", 16_384).put("maxBodyBytes", 262_144)
                 .put("headerTimeoutMs", 3_000).put("idleTimeoutMs", 15_000);
         store.put("op/config", config.toString());
-        record.line("operator: version %d is acknowledged, the queue goes to %s", version, service);
+        record.line("operator: version %d is acknowledged, queues %s go to %s", version, List.of(prefixes), service);
     }
 
     /** Writes the configuration, starts the processes of the system and waits until all are ready. */
--- a/review/standins-3/src/Host.java
+++ b/review/standins-3/src/Host.java
@@ -79,11 +79,6 @@
         }
     }
 
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        record.line("process %s: signal %s", ip, name);
-    }
-
     boolean alive() {
         return process != null && process.isAlive();
     }
--- a/review/standins-3/src/Link.java
+++ b/review/standins-3/src/Link.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * The network between the system and a worker. While it is cut, nothing passes and nothing is answered. Connections that
- * were open when the worker's process ended get no sign of it; they are reset when something is sent on them after the cut.
+ * The network before a server. While it is cut, nothing passes and nothing is answered; connections that were open then are
+ * reset when something is sent on them after the cut. Connections may also go silent for good, while new ones work.
  */
 final class Link {
 
@@ -38,6 +38,11 @@
         connections.forEach(connection -> connection.dead = true);
     }
 
+    /** Lets the open connections go silent for good; new ones work. */
+    void silence() {
+        connections.forEach(connection -> connection.silent = true);
+    }
+
     void heal() {
         cut = false;
     }
@@ -58,10 +63,12 @@
 
         private final Socket caller;
 
-        private Socket worker;
+        private Socket server;
 
         private volatile boolean dead;
 
+        private volatile boolean silent;
+
         private Connection(Socket caller) {
             this.caller = caller;
         }
@@ -73,13 +80,13 @@
                 while (cut) {
                     Daemon.pause(10);
                 }
-                worker = new Socket(target.getAddress(), target.getPort());
-                worker.setTcpNoDelay(true);
+                server = new Socket(target.getAddress(), target.getPort());
+                server.setTcpNoDelay(true);
                 Daemon.thread(() -> {
-                            pass(worker, caller, false);
+                            pass(server, caller, false);
                         })
                         .start();
-                pass(caller, worker, true);
+                pass(caller, server, true);
             } catch (IOException e) {
                 reset();
             }
@@ -101,13 +108,15 @@
                         }
                         return;
                     }
-                    out.write(buffer, 0, length);
+                    if (!silent) {
+                        out.write(buffer, 0, length);
+                    }
                     length = in.read(buffer);
                 }
             } catch (IOException e) {
                 // The other direction may go on.
             }
-            if (!dead || fromCaller) {
+            if (fromCaller || !dead && !silent) {
                 reset();
             }
         }
@@ -116,8 +125,8 @@
             try {
                 caller.setSoLinger(true, 0);
                 caller.close();
-                if (worker != null) {
-                    worker.close();
+                if (server != null) {
+                    server.close();
                 }
             } catch (IOException e) {
                 return;
--- a/review/standins-3/src/Worker.java
+++ b/review/standins-3/src/Worker.java
@@ -32,9 +32,6 @@
         default void started(Worker worker, Run run) {}
 
         default void ended(Worker worker, Run run, String how) {}
-
-        /** The end of a run has been taken note of. */
-        default void noted(Worker worker, Run run, String how) {}
     }
 
     /** Where the worker's process listens. */
@@ -85,7 +82,7 @@
         link = new Link(address);
     }
 
-    /** Starts a new life: registers, then listens. */
+    /** Starts a new life: registers, then listens. It may have the id of the former one. */
     synchronized void start(String newId, int newCpu, String newKind) throws IOException {
         id = newId;
         cpu = newCpu;
@@ -148,19 +145,6 @@
         record.line("worker %s: has left", id);
     }
 
-    /**
-     * The worker loses power and starts again under its id: nothing is answered for a time, and connections that were open
-     * get no sign of it until something is sent on them.
-     */
-    void restartSilently(long downMillis) throws IOException {
-        record.line("worker %s: goes down silently", id);
-        link.cut();
-        crash();
-        Daemon.pause(downMillis);
-        start(id, cpu, kind);
-        link.heal();
-    }
-
     synchronized String kind() {
         return kind;
     }
@@ -202,9 +186,6 @@
             return;
         }
         boolean lapsed = now.clock() >= now.until;
-        if (lapsed) {
-            now.lapsedAt = Record.now();
-        }
         for (Run run : List.copyOf(now.running.values())) {
             long ran = Record.now() - run.startedAt;
             if (run.stopAt > 0 && Record.now() >= run.stopAt) {
@@ -220,7 +201,7 @@
     private void end(Life now, Run run, String how) {
         now.running.remove(run.task);
         now.lastEnd++;
-        now.ended.add(new End(now.lastEnd, run, how, Record.now()));
+        now.ended.add(new End(now.lastEnd, run, how));
         now.highest.merge(run.task, run.run, Math::max);
         record.line("worker %s: end %d, %s run %d %s", id, now.lastEnd, run.task, run.run, how);
         listener.ended(this, run, how);
@@ -324,10 +305,6 @@
                 now.ended.remove(end);
                 record.line("worker %s: lastSeen %d takes note of end %d, %s run %d %s",
                         id, seen, end.number, end.run.task, end.run.run, end.how);
-                // An end does not count as taken note of if the lease lapsed in between.
-                if (now.lapsedAt < end.at) {
-                    listener.noted(this, end.run, end.how);
-                }
             }
         }
         extend(now, body);
@@ -385,7 +362,7 @@
         }
     }
 
-    private record End(long number, Run run, String how, long at) {}
+    private record End(long number, Run run, String how) {}
 
     private static final class Life {
 
@@ -405,8 +382,6 @@
 
         private long until;
 
-        private long lapsedAt = -1;
-
         private int sequence;
 
         private long clock() {
