--- a/review/standins-3/src/Cluster.java
+++ b/review/standins-3/src/Cluster.java
@@ -219,7 +219,8 @@
             e.printStackTrace();
             code = 2;
         }
-        Runtime.getRuntime().halt(code);
+        // Also ends the processes of the system if the scenario failed.
+        System.exit(code);
     }
 
     interface Scenario {
