--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -11,7 +11,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.flamingopitch.scheduler.cell.admission.AdmissionDecision;
-import org.flamingopitch.scheduler.cell.admission.AdmissionPolicy;
 import org.flamingopitch.scheduler.cell.admission.SizeClass;
 import org.flamingopitch.scheduler.cell.disruption.Evacuations;
 import org.flamingopitch.scheduler.cell.feature.FeatureGate;
@@ -21,7 +20,6 @@
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
 import org.flamingopitch.scheduler.cell.port.CellContext;
-import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 
 /**
  * The cell from the election of this process as its owner until the end of that ownership: loads the records of former
@@ -59,6 +57,8 @@
 
     private final CellLoad load;
 
+    private final JobAdmission admission;
+
     private final long fencingToken;
 
     private final OwnerRecord self;
@@ -114,6 +114,7 @@
         this.workerRegistry = new WorkerRegistry(
                 context, fencingToken, timings.maxLease(), formerLeases.expiry(), evacuations, runManager);
         this.load = new CellLoad(jobs, workerRegistry, statistics.bestEffortCompletionRate());
+        this.admission = new JobAdmission(context, jobs, load, statistics);
         this.recordsLoader = new CellRecordsLoader(
                 context,
                 (ledger, formerOwners) -> formerLeases.applyLedger(ledger, formerOwners, context.now()),
@@ -351,9 +352,7 @@
         JobShares shares = statistics.jobShares();
         QueueName queue = submit.queue().name();
         SizeClass sizeClass = shares.classify(submit.id(), queue, submit.spec());
-        AdmissionDecision decision =
-                context.gates().on(FeatureGate.ADMISSION) ? decide(submit, sizeClass) : AdmissionPolicy.admit();
-        recordDecision(submit, decision);
+        AdmissionDecision decision = admission.decide(submit, sizeClass);
         if (!decision.admitted()) {
             shares.onRejected(submit.id(), queue, submit.spec(), sizeClass, context.now());
             answer.accept(new JobAnswer.Refused(decision.retryDelay(), "too much work waits"));
@@ -375,39 +374,6 @@
         answerWhenDurable(job, new JobAnswer.Accepted(), answer);
     }
 
-    private AdmissionDecision decide(JobRequest.Submit submit, SizeClass sizeClass) {
-        JobShares shares = statistics.jobShares();
-        QueueName queue = submit.queue().name();
-        return AdmissionControl.decide(
-                submit.id(),
-                submit.spec(),
-                submit.queue(),
-                jobs.open(),
-                load.capacity(submit.queue(), submit.spec(), context.now()),
-                load.totalMilliCores(submit.queue()),
-                shares.share(queue, sizeClass),
-                shares.boost(queue, sizeClass),
-                statistics.estimates(),
-                context.now());
-    }
-
-    /** Counts a decision on a submission, and logs it if the job is rejected. */
-    private void recordDecision(JobRequest.Submit submit, AdmissionDecision decision) {
-        OwnerMetrics metrics = context.metrics();
-        metrics.recordAdmission(submit.queue().priority(), decision.outcome().label());
-        if (decision.inputs().workAhead() > 0) {
-            metrics.recordAdmissionWait(Duration.ofMillis(decision.waitMillis()));
-        }
-        if (!decision.admitted()) {
-            LOGGER.atInfo().log(
-                    "event=refused job=%s queue=%s %s work_core_ms=%d",
-                    submit.id(),
-                    submit.queue().name(),
-                    decision.logFields(),
-                    submit.spec().estimatedWork() / MILLICORES_PER_CORE);
-        }
-    }
-
     private void cancel(Job job, Consumer<JobAnswer> answer) {
         if (job.open()) {
             LOGGER.atInfo().log("event=cancelled job=%s", job.id());
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/AdmissionLogTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/AdmissionLogTest.java
@@ -14,7 +14,7 @@
 
     private final CellSession session = new CellSession();
 
-    private final RecordedLog log = new RecordedLog(CellOwner.class);
+    private final RecordedLog log = new RecordedLog(CellOwner.class.getPackageName());
 
     @BeforeEach
     void start() {
