--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/JobCodec.java
@@ -1,18 +1,27 @@
 package org.flamingopitch.daemon.cell;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.google.common.flogger.FluentLogger;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Arrays;
 import org.flamingopitch.coordination.api.JsonCodec;
 import org.flamingopitch.scheduler.cell.entry.ForwardOutcome;
 import org.flamingopitch.scheduler.cell.owner.JobAnswer;
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.transport.peer.RequestOutcome;
+import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
-/** Encodes and decodes the job requests and answers that hosts exchange, in MessagePack. */
+/**
+ * Encodes and decodes the job requests and answers that hosts exchange, in MessagePack. A submission is followed by a
+ * second value, its {@link SubmitAttributes}: hosts with an earlier version of the software read the first value only,
+ * and reject requests with additional properties.
+ */
 final class JobCodec {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -21,6 +30,10 @@
 
     private final ObjectReader requestReader;
 
+    private final ObjectWriter attributesWriter;
+
+    private final ObjectReader attributesReader;
+
     private final ObjectWriter answerWriter;
 
     private final ObjectReader answerReader;
@@ -30,16 +43,42 @@
                 new JsonCodec(new MessagePackFactory(), JobRequest.class, JobAnswer.class).allowAbsentNumbers();
         requestWriter = codec.mapper().writerFor(JobRequest.class);
         requestReader = codec.mapper().readerFor(JobRequest.class);
+        attributesWriter = codec.mapper().writerFor(SubmitAttributes.class);
+        attributesReader = codec.mapper()
+                .readerFor(SubmitAttributes.class)
+                .without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         answerWriter = codec.mapper().writerFor(JobAnswer.class);
         answerReader = codec.mapper().readerFor(JobAnswer.class);
     }
 
     byte[] encode(JobRequest request) {
-        return write(requestWriter, request);
+        ByteArrayOutputStream values = new ByteArrayOutputStream();
+        values.writeBytes(write(requestWriter, request));
+        if (request instanceof JobRequest.Submit submit) {
+            values.writeBytes(write(attributesWriter, new SubmitAttributes(submit.configurationVersion())));
+        }
+        return values.toByteArray();
     }
 
     JobRequest decodeRequest(byte[] bytes) {
-        return read(requestReader, bytes);
+        JobRequest request = read(requestReader, bytes);
+        if (request instanceof JobRequest.Submit submit) {
+            byte[] attributes = afterFirstValue(bytes);
+            if (attributes.length > 0) {
+                SubmitAttributes decoded = read(attributesReader, attributes);
+                return submit.withConfigurationVersion(decoded.configurationVersion());
+            }
+        }
+        return request;
+    }
+
+    private static byte[] afterFirstValue(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.skipValue();
+            return Arrays.copyOfRange(bytes, (int) unpacker.getTotalReadBytes(), bytes.length);
+        } catch (IOException | MessagePackException e) {
+            throw invalidMessage(e);
+        }
     }
 
     byte[] encode(JobAnswer answer) {
@@ -86,7 +125,18 @@
             }
             return message;
         } catch (IOException | MessagePackException e) {
-            throw new IllegalArgumentException("invalid MessagePack message: " + e.getMessage(), e);
+            throw invalidMessage(e);
         }
     }
+
+    private static IllegalArgumentException invalidMessage(Exception cause) {
+        return new IllegalArgumentException("invalid MessagePack message: " + cause.getMessage(), cause);
+    }
+
+    /**
+     * What a submission contains beside the properties that all versions of the software know.
+     *
+     * @param configurationVersion the version of the configuration of the host that sends it
+     */
+    private record SubmitAttributes(long configurationVersion) {}
 }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionOutcome.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/admission/AdmissionOutcome.java
@@ -14,6 +14,9 @@
     /** The job needs a feature that is not supported. */
     UNSUPPORTED("unsupported"),
 
+    /** A newer configuration than that of the host which received the job has no queue for it. */
+    UNCONFIGURED("unconfigured"),
+
     /** The store has not confirmed the ownership recently enough. */
     UNCONFIRMED("unconfirmed"),
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CallerRequestHandler.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CallerRequestHandler.java
@@ -99,7 +99,7 @@
                 reply.accept(new CallerReply.Malformed(error));
                 return;
             }
-            request = new JobRequest.Submit(id, queue, submit.spec());
+            request = new JobRequest.Submit(id, queue, configuration.get().version(), submit.spec());
         } else if (callerRequest.operation() instanceof CallerOperation.Cancel) {
             request = new JobRequest.Cancel(id);
         } else {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -72,7 +72,7 @@
     /** When the store last confirmed which data centres are under evacuation. */
     private Instant evacuationsConfirmedAt = Instant.MIN;
 
-    private CellConfiguration configuration;
+    private final KnownQueues queues;
 
     private CommitLog commitLog;
 
@@ -103,7 +103,7 @@
         this.election = election;
         this.self = self;
         this.fencingToken = fencingToken;
-        this.configuration = configuration;
+        this.queues = new KnownQueues(configuration);
         this.refusals = new JobRefusals(context.metrics());
         this.unconfirmedRequests = new UnconfirmedRequests(election);
         this.electedAt = context.now();
@@ -179,9 +179,13 @@
      * @param next the queues in force
      */
     public void configure(CellConfiguration next) {
-        configuration = next;
+        queues.apply(next);
+        updateQueues();
+    }
+
+    private void updateQueues() {
         for (Job job : jobs.all()) {
-            next.queue(job.queue().name()).ifPresent(job::updateQueue);
+            queues.queue(job.queue().name()).ifPresent(job::updateQueue);
         }
         runManager.requestPlacement();
     }
@@ -314,7 +318,7 @@
         records.forEach((id, record) -> {
             Map<Integer, ProgressRecord> parts = progress.getOrDefault(id, Map.of());
             Job job = JobTable.restore(id, record, parts, workerRegistry, context.now(), timeOfDayMillis);
-            configuration.queue(job.queue().name()).ifPresent(job::updateQueue);
+            queues.queue(job.queue().name()).ifPresent(job::updateQueue);
             jobs.add(job);
             runManager.onJobRestored(job);
         });
@@ -333,11 +337,25 @@
     }
 
     private void submit(JobRequest.Submit submit, Consumer<JobAnswer> answer) {
+        if (queues.learn(submit)) {
+            updateQueues();
+        }
         Job existing = jobs.job(submit.id());
-        Optional<String> unsupportedFeature = JobRefusals.unsupportedFeature(submit);
         if (existing != null) {
             answerWhenDurable(existing, new JobAnswer.Accepted(), answer);
-        } else if (unsupportedFeature.isPresent()) {
+            return;
+        }
+        Optional<QueueSpec> queue = queues.resolve(submit);
+        if (queue.isEmpty()) {
+            refusals.refuseUnconfigured(submit.id(), submit.queue(), answer);
+        } else {
+            admitIfPossible(submit.withQueue(queue.get()), answer);
+        }
+    }
+
+    private void admitIfPossible(JobRequest.Submit submit, Consumer<JobAnswer> answer) {
+        Optional<String> unsupportedFeature = JobRefusals.unsupportedFeature(submit);
+        if (unsupportedFeature.isPresent()) {
             refusals.refuseUnsupported(submit.id(), submit.queue(), unsupportedFeature.get(), answer);
         } else if (storeAway()) {
             refuseStoreAway(submit.id(), submit.queue(), answer);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRefusals.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRefusals.java
@@ -20,6 +20,9 @@
 
     private static final Duration UNCONFIRMED_RETRY_DELAY = Duration.ofSeconds(1);
 
+    /** Another host may have the configuration that has dropped the queue, and answers that there is none. */
+    private static final Duration UNCONFIGURED_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final OwnerMetrics metrics;
 
     JobRefusals(OwnerMetrics metrics) {
@@ -31,6 +34,12 @@
         refuse(id, queue, AdmissionOutcome.UNSUPPORTED, UNSUPPORTED_RETRY_DELAY, detail, answer);
     }
 
+    /** Refuses a job of a host with an older configuration, for whose path a newer one has no queue. */
+    void refuseUnconfigured(JobId id, QueueSpec queue, Consumer<JobAnswer> answer) {
+        String detail = "the queue is not configured any more";
+        refuse(id, queue, AdmissionOutcome.UNCONFIGURED, UNCONFIGURED_RETRY_DELAY, detail, answer);
+    }
+
     /** Refuses a job as the store has not confirmed the ownership recently. */
     void refuseUnconfirmed(JobId id, QueueSpec queue, Consumer<JobAnswer> answer) {
         String detail = "the store does not answer";
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRequest.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobRequest.java
@@ -1,5 +1,6 @@
 package org.flamingopitch.scheduler.cell.owner;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.Objects;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
@@ -14,15 +15,21 @@
      *
      * @param id the job
      * @param queue the queue as configured on the host that received the request
+     * @param configurationVersion the version of that host's configuration, or {@link #UNKNOWN_VERSION}
      * @param spec what the caller submitted
      */
-    record Submit(JobId id, QueueSpec queue, JobSpec spec) implements JobRequest {
+    record Submit(JobId id, QueueSpec queue, @JsonIgnore long configurationVersion, JobSpec spec)
+            implements JobRequest {
+
+        /** Hosts with an earlier version of the software do not send the version of their configuration. */
+        public static final long UNKNOWN_VERSION = 0;
 
         /**
          * Rejects a request that lacks a component.
          *
          * @param id the job
          * @param queue the queue
+         * @param configurationVersion the version of the host's configuration
          * @param spec what the caller submitted
          */
         public Submit {
@@ -30,6 +37,20 @@
             Objects.requireNonNull(queue, "queue");
             Objects.requireNonNull(spec, "spec");
         }
+
+        /**
+         * Returns this request with another version of the configuration.
+         *
+         * @param version the version
+         * @return the request
+         */
+        public Submit withConfigurationVersion(long version) {
+            return new Submit(id, queue, version, spec);
+        }
+
+        Submit withQueue(QueueSpec other) {
+            return new Submit(id, other, configurationVersion, spec);
+        }
     }
 
     /**
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -80,6 +80,8 @@
 
     private String rack = "r1";
 
+    private ServiceName service = new ServiceName("pool");
+
     private double clockRate = 1;
 
     private long startDelayMillis;
@@ -161,21 +163,13 @@
         running.clear();
     }
 
-    /**
-     * Returns whether the worker's process has ended.
-     *
-     * @return whether it has ended
-     */
-    public boolean crashed() {
+    /** Returns whether the worker's process has ended. */
+    boolean crashed() {
         return crashed;
     }
 
-    /**
-     * Returns the address.
-     *
-     * @return the address
-     */
-    public String address() {
+    /** Returns the address. */
+    String address() {
         return address;
     }
 
@@ -216,6 +210,11 @@
         stopsLost = areLost;
     }
 
+    /** Sets the service of which this is a worker. */
+    void setService(String name) {
+        service = new ServiceName(name);
+    }
+
     /** Sets the label of the rack. */
     void setRack(String label) {
         rack = label;
@@ -372,7 +371,7 @@
                 new WorkerId(name),
                 incarnation,
                 address,
-                new ServiceName("pool"),
+                service,
                 dataCentre,
                 draining,
                 remainingMillis,
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -59,6 +59,11 @@
         hostsWithoutRecords.add(host);
     }
 
+    /** Lets the calls of a host that list the records of jobs be answered again. */
+    void answerRecordLists(String host) {
+        hostsWithoutRecords.remove(host);
+    }
+
     boolean reachesStore(String host, KeyValueRequest request) {
         boolean listsRecords = request instanceof KeyValueRequest.ListPage page
                 && page.prefix().startsWith(RECORD_PREFIX);
