--- a/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/cell/HostContext.java
@@ -10,11 +10,13 @@
 import org.flamingopitch.coordination.kv.KeyValueResult;
 import org.flamingopitch.coordination.loop.SingleWriterLoop;
 import org.flamingopitch.coordination.loop.TimerQueue;
+import org.flamingopitch.platform.OperatorRequestWatcher;
 import org.flamingopitch.platform.StoreClient;
 import org.flamingopitch.platform.WorkerClient;
 import org.flamingopitch.platform.WorkerDirectory;
 import org.flamingopitch.scheduler.cell.feature.FeatureGates;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.ConfigurationSource;
 import org.flamingopitch.scheduler.cell.port.LiveWorkerSource;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
@@ -130,6 +132,11 @@
         return liveWorkers;
     }
 
+    @Override
+    public Optional<ConfigurationSource> configurationSource() {
+        return Optional.of(OperatorRequestWatcher.configurationSource());
+    }
+
     private LiveWorkerSource inLoop(LiveWorkerSource source) {
         return handler -> source.list(listing -> loop.publish(() -> handler.accept(listing)));
     }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/entry/CellNode.java
@@ -287,7 +287,8 @@
                 self,
                 this::awaitStop,
                 version,
-                requestHandler.configuration().orElse(noQueues));
+                requestHandler.configuration().orElse(noQueues),
+                this::configure);
         if (evacuatedDataCentres != null) {
             ownedCell.evacuate(evacuatedDataCentres, evacuationsConfirmedAt);
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellOwner.java
@@ -89,6 +89,7 @@
      *     stopped to extend leases, if it learns one
      * @param fencingToken the version at which this process won the owner's key; workers reject orders with a lower one
      * @param configuration the queues in force
+     * @param configurationListener receives the configuration that the takeover reads, before the jobs are restored
      */
     public CellOwner(
             CellContext context,
@@ -97,7 +98,8 @@
             OwnerRecord self,
             BiConsumer<OwnerRecord, Consumer<Instant>> stopMonitor,
             long fencingToken,
-            CellConfiguration configuration) {
+            CellConfiguration configuration,
+            Consumer<CellConfiguration> configurationListener) {
         this.context = context;
         this.timings = timings;
         this.election = election;
@@ -118,6 +120,7 @@
         this.recordsLoader = new CellRecordsLoader(
                 context,
                 (ledger, formerOwners) -> formerLeases.applyLedger(ledger, formerOwners, context.now()),
+                configurationListener,
                 this::restore);
     }
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellRecordsLoader.java
@@ -12,10 +12,15 @@
 import org.flamingopitch.coordination.kv.KeyValueEntry;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.coordination.kv.KeyValueResult;
+import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.JobId;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.ConfigurationSource;
 
-/** Loads the records that former owners committed. They no longer change, since commits require the owner's key. */
+/**
+ * Loads the records that former owners committed. They no longer change, since commits require the owner's key. Loads also
+ * the configuration, which is then at least as new as any that a former owner acted on.
+ */
 final class CellRecordsLoader {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -26,6 +31,8 @@
 
     private final BiConsumer<KeyValueEntry, Optional<KeyValueEntry>> ledgerHandler;
 
+    private final Consumer<CellConfiguration> configurationListener;
+
     private final Listener listener;
 
     private Map<JobId, JobRecord> jobs;
@@ -40,6 +47,9 @@
     /** The entry that names the former owners, empty if there is none; null before it is read. */
     private Optional<KeyValueEntry> formerOwners;
 
+    /** The newest configuration, empty if there is none that can be read; null before it is read. */
+    private Optional<CellConfiguration> configuration;
+
     private boolean closed;
 
     /**
@@ -47,12 +57,17 @@
      *
      * @param ledgerHandler receives the ledger entry and the one that names the former owners as soon as both are read,
      *     unless there is no ledger entry
+     * @param configurationListener receives the configuration, before the records
      * @param listener receives the records
      */
     CellRecordsLoader(
-            CellContext context, BiConsumer<KeyValueEntry, Optional<KeyValueEntry>> ledgerHandler, Listener listener) {
+            CellContext context,
+            BiConsumer<KeyValueEntry, Optional<KeyValueEntry>> ledgerHandler,
+            Consumer<CellConfiguration> configurationListener,
+            Listener listener) {
         this.context = context;
         this.ledgerHandler = ledgerHandler;
+        this.configurationListener = configurationListener;
         this.listener = listener;
     }
 
@@ -62,6 +77,7 @@
         readJobs();
         readProgress();
         readLearned();
+        context.configurationSource().ifPresentOrElse(this::readConfiguration, () -> configuration = Optional.empty());
     }
 
     void close() {
@@ -154,6 +170,14 @@
         });
     }
 
+    private void readConfiguration(ConfigurationSource source) {
+        read(
+                new KeyValueRequest.Get(source.key()),
+                () -> readConfiguration(source),
+                result ->
+                        configuration = entry(result).map(KeyValueEntry::value).flatMap(source::decode));
+    }
+
     private void read(KeyValueRequest request, Runnable retry, Consumer<KeyValueResult> onResult) {
         if (closed) {
             return;
@@ -171,14 +195,19 @@
                 return;
             }
             onResult.accept(result);
-            boolean ledgerRead = ledger != null && formerOwners != null;
-            if (ledgerRead && jobs != null && progress != null && learnedStatistics != null) {
+            if (complete()) {
                 long ledgerVersion = ledger.map(KeyValueEntry::version).orElse(KeyValueRequest.ABSENT);
+                configuration.ifPresent(configurationListener);
                 listener.onLoaded(ledgerVersion, jobs, progress, learnedStatistics);
             }
         });
     }
 
+    private boolean complete() {
+        boolean ledgerRead = ledger != null && formerOwners != null;
+        return ledgerRead && jobs != null && progress != null && learnedStatistics != null && configuration != null;
+    }
+
     /** Receives the records once all are read. */
     interface Listener {
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/port/CellContext.java
@@ -44,6 +44,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns where the newest configuration can be read.
+     *
+     * @return the source, or empty if this platform has none, as by default
+     */
+    default Optional<ConfigurationSource> configurationSource() {
+        return Optional.empty();
+    }
+
     /**
      * Returns which decision mechanisms are on.
      *
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -29,6 +29,7 @@
 import org.flamingopitch.scheduler.cell.owner.JobRequest;
 import org.flamingopitch.scheduler.cell.owner.OwnerRecord;
 import org.flamingopitch.scheduler.cell.port.CellContext;
+import org.flamingopitch.scheduler.cell.port.ConfigurationSource;
 import org.flamingopitch.scheduler.cell.port.LiveWorkerSource;
 import org.flamingopitch.scheduler.cell.port.OwnerMetrics;
 import org.flamingopitch.scheduler.cell.port.WorkerAnswer;
@@ -71,6 +72,8 @@
 
     private final FakeLiveWorkers liveWorkers = new FakeLiveWorkers();
 
+    private final StoredConfigurations configurations = new StoredConfigurations();
+
     private Instant now = START_TIME;
 
     private CellConfiguration configuration = InitialConfiguration.create();
@@ -184,12 +187,8 @@
         host.node.configure(configuration);
     }
 
-    /**
-     * Simulates a crash of a host: its leases in the store stay, and answers to it are dropped.
-     *
-     * @param name its name
-     */
-    public void killHost(String name) {
+    /** Simulates a crash of a host: its leases in the store stay, and answers to it are dropped. */
+    void killHost(String name) {
         hosts.remove(name).killed = true;
     }
 
@@ -215,9 +214,15 @@
      */
     public void configure(CellConfiguration next) {
         configuration = next;
+        publish(next);
         hosts.values().forEach(host -> host.node.configure(next));
     }
 
+    /** Stores a configuration, which no host has received so far. */
+    void publish(CellConfiguration next) {
+        configurations.publish(store, next);
+    }
+
     /**
      * Returns the cell node of a host.
      *
@@ -228,21 +233,13 @@
         return hosts.get(name).node;
     }
 
-    /**
-     * Returns the partitions between hosts, store and workers.
-     *
-     * @return the partitions
-     */
-    public Partitions partitions() {
+    /** Returns the partitions between hosts, store and workers. */
+    Partitions partitions() {
         return partitions;
     }
 
-    /**
-     * Returns the store.
-     *
-     * @return the store
-     */
-    public FakeStore store() {
+    /** Returns the store. */
+    FakeStore store() {
         return store;
     }
 
@@ -266,12 +263,8 @@
         return workers.get(name);
     }
 
-    /**
-     * Advances the clock.
-     *
-     * @param time by how much
-     */
-    public void advance(Duration time) {
+    /** Advances the clock. */
+    void advance(Duration time) {
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
             now = now.plus(TICK);
@@ -452,6 +445,11 @@
             return liveWorkers.source(workers.values(), clockMillis(), this::answer);
         }
 
+        @Override
+        public Optional<ConfigurationSource> configurationSource() {
+            return Optional.of(configurations);
+        }
+
         @Override
         public void listWorkers(Consumer<WorkerListing> handler) {
             answer(
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StaleConfigurationSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/StaleConfigurationSessionTest.java
@@ -151,6 +151,35 @@
         assertThat(runsOn("later")).isTrue();
     }
 
+    /** A configuration that arrives later than the takeover would come too late for a task that is started before. */
+    @Test
+    void successorWithAnOlderConfigurationDoesNotStartWaitingTasksOnTheFormerService() {
+        session.worker("later").setDraining(true);
+        session.advance(Duration.ofSeconds(1));
+        session.publish(withService(2, LATER_SERVICE));
+        session.node(owner).configure(withService(2, LATER_SERVICE));
+        submit(owner, JOB_PATH);
+        session.advance(Duration.ofSeconds(1));
+        session.killHost(owner);
+        session.store().endLeases();
+        session.advance(LOST_LIMIT);
+        assertThat(session.node(other).ownsCell()).isTrue();
+        assertThat(session.worker("former").started()).isEmpty();
+        session.worker("later").setDraining(false);
+        session.advance(LOST_LIMIT);
+        assertThat(runsOn("later")).isTrue();
+    }
+
+    @Test
+    void takeoverEndsWithoutAStoredConfiguration() {
+        session.killHost(owner);
+        session.store().endLeases();
+        session.advance(LOST_LIMIT);
+        submit(other, JOB_PATH);
+        session.advance(LOST_LIMIT);
+        assertThat(runsOn("former")).isTrue();
+    }
+
     @Test
     void stepAfterOneOnTheFormerServiceRunsOnTheLaterOne() {
         JobSpec spec = new JobSpec(
