--- a/coordination/src/main/java/org/flamingopitch/coordination/api/Failure.java
+++ b/coordination/src/main/java/org/flamingopitch/coordination/api/Failure.java
@@ -9,6 +9,16 @@
  */
 public record Failure(String step, String peer, String detail) {
 
+    /**
+     * Returns this failure with a further detail.
+     *
+     * @param further the further detail
+     * @return the failure
+     */
+    public Failure withDetail(String further) {
+        return new Failure(step, peer, detail + "; " + further);
+    }
+
     @Override
     public String toString() {
         return "step=" + step + " peer=" + peer + " detail=\"" + detail.replace('"', '\'') + '"';
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -190,12 +190,20 @@
         }
         boolean outcomeKnown = answer instanceof WorkerAnswer.Done || answer instanceof WorkerAnswer.Rejected;
         if (outcomeKnown) {
+            if (run.startMayBeExecutedLate() || run.unansweredOrders() > 0) {
+                LOGGER.atInfo().log(
+                        "event=stop_answered task=%s run=%d worker=%s unanswered=%d answer=%s",
+                        run.task().ref(), run.number(), run.worker().id(), run.unansweredOrders(), answer);
+            }
             run.setOrderOutcomeKnown(context.now());
             run.markStartsSettled();
             listener.onOrderOutcomeKnown(run);
             return;
         }
         run.markOrderUnanswered(context.now().plus(RETRY_DELAY));
+        LOGGER.atWarning().log(
+                "event=stop_unanswered task=%s run=%d worker=%s attempt=%d answer=%s",
+                run.task().ref(), run.number(), run.worker().id(), run.unansweredOrders(), answer);
     }
 
     private static boolean isRejectedByNewerFencingToken(WorkerAnswer answer) {
--- a/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
@@ -40,9 +40,9 @@
 
     private final TimeSource clock;
 
-    private final Deque<ClientConnection> idleConnections = new ArrayDeque<>();
+    private final Deque<PooledConnection> idleConnections = new ArrayDeque<>();
 
-    private final Set<ClientConnection> busyConnections = new HashSet<>();
+    private final Set<PooledConnection> busyConnections = new HashSet<>();
 
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
 
@@ -66,19 +66,19 @@
 
     void closeIdle() {
         while (!idleConnections.isEmpty()) {
-            IoUtils.safeClose(idleConnections.poll());
+            idleConnections.poll().close();
         }
     }
 
     void close() {
         closeIdle();
-        List.copyOf(busyConnections).forEach(IoUtils::safeClose);
+        List.copyOf(busyConnections).forEach(PooledConnection::close);
     }
 
-    private ClientConnection takeIdle() {
+    private PooledConnection takeIdle() {
         while (!idleConnections.isEmpty()) {
-            ClientConnection connection = idleConnections.pollLast();
-            if (connection.isOpen()) {
+            PooledConnection connection = idleConnections.pollLast();
+            if (connection.open()) {
                 return connection;
             }
         }
@@ -96,29 +96,35 @@
         UndertowClient.getInstance().connect(attempt, uri, ioThread, buffers, OptionMap.EMPTY);
     }
 
-    private void startExchange(ClientConnection connection, PendingRequest request) {
+    private void startExchange(PooledConnection connection, PendingRequest request) {
         busyConnections.add(connection);
         new HttpExchange(
                         address,
-                        connection,
+                        connection.connection(),
                         ioThread,
                         request.order(),
                         outcome -> onExchangeEnded(connection, outcome, request))
                 .start();
     }
 
-    private void onExchangeEnded(ClientConnection connection, HttpOutcome outcome, PendingRequest request) {
+    private void onExchangeEnded(PooledConnection connection, HttpOutcome outcome, PendingRequest request) {
         busyConnections.remove(connection);
-        boolean canReuse = outcome instanceof HttpOutcome.Answered && connection.isOpen();
-        if (canReuse) {
+        if (outcome instanceof HttpOutcome.Answered && connection.open()) {
+            connection.recordAnswer(clock.now());
             idleConnections.add(connection);
         } else {
-            IoUtils.safeClose(connection);
+            connection.close();
         }
-        request.handler().accept(outcome);
+        request.handler().accept(describeLoss(connection, outcome));
         sendPendingRequests();
     }
 
+    private HttpOutcome describeLoss(PooledConnection connection, HttpOutcome outcome) {
+        return outcome instanceof HttpOutcome.Lost lost
+                ? new HttpOutcome.Lost(lost.failure().withDetail(connection.describe(clock.now())))
+                : outcome;
+    }
+
     private void sendPendingRequests() {
         while (!pendingRequests.isEmpty()) {
             HttpRequest next = pendingRequests.peek().order();
@@ -130,7 +136,7 @@
                 pendingRequests.poll().handler().accept(notSent("the time to send it has passed"));
                 continue;
             }
-            ClientConnection connection = takeIdle();
+            PooledConnection connection = takeIdle();
             if (connection == null) {
                 connectIfPermitted();
                 return;
@@ -182,7 +188,7 @@
                 return;
             }
             end();
-            idleConnections.add(connection);
+            idleConnections.add(new PooledConnection(connection, clock.now()));
             sendPendingRequests();
         }
 
