--- a/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
@@ -6,6 +6,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -98,16 +99,18 @@
 
     private void startExchange(PooledConnection connection, PendingRequest request) {
         busyConnections.add(connection);
+        Instant sentAt = clock.now();
         new HttpExchange(
                         address,
                         connection.connection(),
                         ioThread,
                         request.order(),
-                        outcome -> onExchangeEnded(connection, outcome, request))
+                        outcome -> onExchangeEnded(connection, outcome, request, sentAt))
                 .start();
     }
 
-    private void onExchangeEnded(PooledConnection connection, HttpOutcome outcome, PendingRequest request) {
+    private void onExchangeEnded(
+            PooledConnection connection, HttpOutcome outcome, PendingRequest request, Instant sentAt) {
         busyConnections.remove(connection);
         if (outcome instanceof HttpOutcome.Answered && connection.open()) {
             connection.recordAnswer(clock.now());
@@ -115,10 +118,27 @@
         } else {
             connection.close();
         }
+        if (outcome instanceof HttpOutcome.Lost) {
+            closeIdleUnprovedSince(sentAt);
+        }
         request.handler().accept(describeLoss(connection, outcome));
         sendPendingRequests();
     }
 
+    /**
+     * Closes the idle connections that have not worked since a call was sent that got no answer: what silenced its
+     * connection may have silenced them too, and each would cost another call its time-out.
+     */
+    private void closeIdleUnprovedSince(Instant sentAt) {
+        idleConnections.removeIf(connection -> {
+            boolean unproved = connection.provedAt().isBefore(sentAt);
+            if (unproved) {
+                connection.close();
+            }
+            return unproved;
+        });
+    }
+
     private HttpOutcome describeLoss(PooledConnection connection, HttpOutcome outcome) {
         return outcome instanceof HttpOutcome.Lost lost
                 ? new HttpOutcome.Lost(lost.failure().withDetail(connection.describe(clock.now())))
