--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -32,6 +32,9 @@
     /** For workers where a latency-critical task may soon miss its target; reported response times cover 500 ms. */
     private static final Duration FREQUENT_POLL_TIMEOUT = Duration.ofMillis(350);
 
+    /** While a run is stopped that the worker may not have: such a poll delays the one after the answer to the stop. */
+    private static final Duration UNCONFIRMED_STOP_POLL_TIMEOUT = Duration.ofMillis(300);
+
     /** Collects ends in quick succession into one call, since each call to a worker is charged. */
     private static final Duration MIN_POLL_INTERVAL = Duration.ofMillis(120);
 
@@ -163,6 +166,14 @@
     }
 
     private Duration longPollTimeout() {
+        List<Run> unconfirmedStops = worker.runs().stream()
+                .filter(run -> run.phase() == RunPhase.STOPPING && !run.confirmed())
+                .toList();
+        if (!unconfirmedStops.isEmpty()) {
+            // A run whose start had no effect has no end to wait for: the report alone tells that it is not there.
+            boolean anyStopAnswered = unconfirmedStops.stream().anyMatch(run -> run.orderOutcomeKnownAt() != null);
+            return anyStopAnswered ? Duration.ZERO : UNCONFIRMED_STOP_POLL_TIMEOUT;
+        }
         if (worker.needsFrequentPolling()) {
             return FREQUENT_POLL_TIMEOUT;
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -144,7 +144,7 @@
     }
 
     /** A clock that the test advances, and a worker whose calls the test answers one by one. */
-    private static final class ScriptedWorker implements CellContext {
+    static final class ScriptedWorker implements CellContext {
 
         private final Deque<WorkerOrder> orders = new ArrayDeque<>();
 
@@ -152,11 +152,15 @@
 
         private Instant now = OwnerFixtures.NOW;
 
-        private void advance(Duration time) {
+        WorkerOrder lastOrder() {
+            return orders.getLast();
+        }
+
+        void advance(Duration time) {
             now = now.plus(time);
         }
 
-        private void answer(WorkerAnswer answer) {
+        void answer(WorkerAnswer answer) {
             handlers.remove().accept(answer);
         }
 
@@ -199,13 +203,21 @@
 
         private final List<Run> outcomeKnown = new ArrayList<>();
 
+        private final List<Run> terminated = new ArrayList<>();
+
+        List<Run> terminated() {
+            return terminated;
+        }
+
         @Override
         public long onRunEnded(WorkerState worker, RunEnd end) {
             return 0;
         }
 
         @Override
-        public void onRunTerminated(Run run, String cause) {}
+        public void onRunTerminated(Run run, String cause) {
+            terminated.add(run);
+        }
 
         @Override
         public void onRunMissing(Run run) {}
