--- a/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpKeyValueClient.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpKeyValueClient.java
@@ -67,7 +67,8 @@
         if (request instanceof KeyValueRequest.Watch watch) {
             String path = "/v1/watch?prefix=" + encode(watch.prefix()) + "&after=" + watch.afterRevision()
                     + "&waitMillis=" + watch.maxWait().toMillis();
-            return newOrder("GET", path, NO_BODY, watch.maxWait().plus(CALL_TIMEOUT));
+            return newOrder("GET", path, NO_BODY, watch.maxWait().plus(CALL_TIMEOUT))
+                    .withServerWait(watch.maxWait());
         }
         if (request instanceof KeyValueRequest.Put put) {
             String lease = put.leaseId() == null ? "" : "&lease=" + encode(put.leaseId());
--- a/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpWorkerClient.java
+++ b/daemon/src/main/java/org/flamingopitch/daemon/platform/HttpWorkerClient.java
@@ -99,7 +99,10 @@
         if (request instanceof WorkerRequest.Execute execute) {
             String path = "/v1/requests?id=" + encode(execute.id().value()) + "&kind="
                     + encode(execute.kind().value());
-            return new HttpRequest("POST", path, execute.payload().bytes(), executionTimeout(notAfter), notAfter);
+            Duration executionTime = Duration.between(clock.now(), notAfter);
+            Duration timeout = executionTime.plus(CONTROL_TIMEOUT);
+            return new HttpRequest("POST", path, execute.payload().bytes(), timeout, notAfter)
+                    .withServerWait(executionTime);
         }
         if (request instanceof WorkerRequest.StartTask) {
             return toJsonOrder("/v1/tasks", request, notAfter);
@@ -114,10 +117,6 @@
         return toJsonOrder(path, request, notAfter);
     }
 
-    private Duration executionTimeout(Instant notAfter) {
-        return Duration.between(clock.now(), notAfter).plus(CONTROL_TIMEOUT);
-    }
-
     private static HttpRequest toJsonOrder(String path, Object body, Instant notAfter) {
         byte[] bytes = body == null ? NO_BODY : JsonCodec.json().encode(body).getBytes(StandardCharsets.UTF_8);
         return new HttpRequest("POST", path, bytes, CONTROL_TIMEOUT, notAfter);
--- a/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/ConnectionPool.java
@@ -119,19 +119,19 @@
             connection.close();
         }
         if (outcome instanceof HttpOutcome.Lost) {
-            closeIdleUnprovedSince(sentAt);
+            closeIdleUnprovedSince(sentAt.plus(request.order().serverWait()));
         }
         request.handler().accept(describeLoss(connection, outcome));
         sendPendingRequests();
     }
 
     /**
-     * Closes the idle connections that have not worked since a call was sent that got no answer: what silenced its
+     * Closes the idle connections that have not worked since an answer was due that did not arrive: what silenced its
      * connection may have silenced them too, and each would cost another call its time-out.
      */
-    private void closeIdleUnprovedSince(Instant sentAt) {
+    private void closeIdleUnprovedSince(Instant answerDueAt) {
         idleConnections.removeIf(connection -> {
-            boolean unproved = connection.provedAt().isBefore(sentAt);
+            boolean unproved = connection.provedAt().isBefore(answerDueAt);
             if (unproved) {
                 connection.close();
             }
--- a/transport/src/main/java/org/flamingopitch/transport/http/HttpRequest.java
+++ b/transport/src/main/java/org/flamingopitch/transport/http/HttpRequest.java
@@ -17,6 +17,7 @@
  * @param withdrawn tells, when the request's turn for a connection has come, that it must not be sent any more
  * @param progressTimeout how long to wait for each part of the answer after the first; the timeout then bounds the wait
  *     for the first part only. Null if the timeout bounds the whole answer
+ * @param serverWait how long the server may wait before it answers, as part of the timeout; zero but for long polls
  */
 public record HttpRequest(
         String method,
@@ -26,7 +27,8 @@
         Instant notAfter,
         List<HttpHeader> headers,
         BooleanSupplier withdrawn,
-        Duration progressTimeout) {
+        Duration progressTimeout,
+        Duration serverWait) {
 
     /**
      * Creates a request whose timeout bounds the wait for the whole answer.
@@ -47,7 +49,7 @@
             Instant notAfter,
             List<HttpHeader> headers,
             BooleanSupplier withdrawn) {
-        this(method, path, body, timeout, notAfter, headers, withdrawn, null);
+        this(method, path, body, timeout, notAfter, headers, withdrawn, null, Duration.ZERO);
     }
 
     /**
@@ -71,6 +73,16 @@
      * @return the request
      */
     public HttpRequest withProgressTimeout(Duration limit) {
-        return new HttpRequest(method, path, body, timeout, notAfter, headers, withdrawn, limit);
+        return new HttpRequest(method, path, body, timeout, notAfter, headers, withdrawn, limit, serverWait);
+    }
+
+    /**
+     * Returns this request as a long poll.
+     *
+     * @param wait how long the server may wait before it answers
+     * @return the request
+     */
+    public HttpRequest withServerWait(Duration wait) {
+        return new HttpRequest(method, path, body, timeout, notAfter, headers, withdrawn, progressTimeout, wait);
     }
 }
--- a/transport/src/test/java/org/flamingopitch/transport/http/SilentConnectionTest.java
+++ b/transport/src/test/java/org/flamingopitch/transport/http/SilentConnectionTest.java
@@ -100,6 +100,28 @@
         assertThat(server.acceptedConnections()).isEqualTo(MAX_CONNECTIONS + 1);
     }
 
+    /** The other connections brought answers since the long poll was sent, but before they went silent. */
+    @Test
+    void onlyTheLongPollIsLostToConnectionsThatWentSilentWhileItWaited() throws Exception {
+        useAllConnections();
+        BlockingQueue<HttpOutcome> longPoll = sendLongPoll();
+        server.awaitRequests(MAX_CONNECTIONS + 1);
+        assertThat(await(send("/"))).isInstanceOf(HttpOutcome.Answered.class);
+        server.silenceOpenConnections();
+        assertThat(await(longPoll)).isInstanceOf(HttpOutcome.Lost.class);
+        assertThat(await(send("/"))).isInstanceOf(HttpOutcome.Answered.class);
+    }
+
+    private BlockingQueue<HttpOutcome> sendLongPoll() {
+        BlockingQueue<HttpOutcome> outcomes = new LinkedBlockingQueue<>();
+        Duration wait = Duration.ofSeconds(1);
+        HttpRequest request = new HttpRequest(
+                        "GET", SilentServer.UNANSWERED_PATH, new byte[0], wait.plus(TIMEOUT), Instant.MAX)
+                .withServerWait(wait);
+        client.send(server.address(), MAX_CONNECTIONS, request, outcomes::add);
+        return outcomes;
+    }
+
     /** Closing them would cost a new connection for each call that a busy server leaves unanswered. */
     @Test
     void connectionsThatBroughtAnAnswerSinceTheLostCallWasSentAreKept() throws Exception {
