--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerPoller.java
@@ -152,7 +152,7 @@
         if (extend) {
             leaseSentAt = now;
         }
-        long acknowledged = worker.ends().lastDurable();
+        long acknowledged = mayAcknowledge() ? worker.ends().lastDurable() : 0;
         WorkerOrder order = new WorkerOrder.Hold(
                 leaseEnd, fencingToken, acknowledged, longPoll ? longPollTimeout() : Duration.ZERO);
         long incarnation = worker.incarnation();
@@ -165,6 +165,15 @@
         });
     }
 
+    /**
+     * Returns whether the call acknowledges ends. A worker that has started again under its id counts them anew and
+     * forgets its own up to the number that it is told, so that each end is acknowledged once, and only to a worker that
+     * has answered the last call and whose entry names no other life.
+     */
+    private boolean mayAcknowledge() {
+        return failures == 0 && worker.ends().awaitAcknowledgement() && !worker.registeredInOtherLife();
+    }
+
     private Duration longPollTimeout() {
         List<Run> unconfirmedStops = worker.runs().stream()
                 .filter(run -> run.phase() == RunPhase.STOPPING && !run.confirmed())
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerState.java
@@ -204,6 +204,15 @@
         return hasReported;
     }
 
+    /** Returns whether the entry names another life of the worker than its last report; 0 stands for an unknown one. */
+    boolean registeredInOtherLife() {
+        return hasReported
+                && entry != null
+                && entry.incarnation() != 0
+                && incarnation != 0
+                && entry.incarnation() != incarnation;
+    }
+
     boolean hasUnknownRuns() {
         return hasUnknownRuns;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/OwnerFixtures.java
@@ -88,23 +88,25 @@
 
     static WorkerState worker(String name, long milliCores, String rack) {
         WorkerState worker = new WorkerState(new WorkerId(name), NOW);
-        worker.register(
-                new WorkerEntry(
-                        worker.id(),
-                        1,
-                        "127.0.0.1:1",
-                        new ServiceName("pool"),
-                        "dc",
-                        false,
-                        0,
-                        0,
-                        new Resources(milliCores, 100_000, 0),
-                        Set.of("a", rack)),
-                NOW);
+        worker.register(entry(name, 1, milliCores, rack), NOW);
         worker.recordReport(1, 0, Duration.ofSeconds(6), NOW);
         return worker;
     }
 
+    static WorkerEntry entry(String name, long incarnation, long milliCores, String rack) {
+        return new WorkerEntry(
+                new WorkerId(name),
+                incarnation,
+                "127.0.0.1:1",
+                new ServiceName("pool"),
+                "dc",
+                false,
+                0,
+                0,
+                new Resources(milliCores, 100_000, 0),
+                Set.of("a", rack));
+    }
+
     /** Starts a run of the task on a worker, 30 s before {@link #NOW}, and reports its measurement at full speed. */
     static Run run(Task task, WorkerState worker, double measurement) {
         Run run = task.place(worker, NOW.minusSeconds(30));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerPollerTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerPollerTest.java
@@ -10,7 +10,7 @@
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
 import org.junit.jupiter.api.Test;
 
-/** Tests how long the polls of a worker may wait for the end of a run. */
+/** Tests how long the polls of a worker may wait for the end of a run, and which ends they acknowledge. */
 final class WorkerPollerTest {
 
     private static final Failure NO_ANSWER = new Failure("http.wait", "w", "no answer in time");
@@ -36,6 +36,7 @@
 
     private WorkerOrder.Hold poll() {
         context.advance(Duration.ofMillis(300));
+        poller.pollSoon();
         poller.pollIfDue(true);
         return (WorkerOrder.Hold) context.lastOrder();
     }
@@ -44,6 +45,44 @@
         return new WorkerAnswer.Report(1, 0, running, List.of(), true);
     }
 
+    /** Lets the worker have reported an end that is durable. */
+    private void recordDurableEnd(long number) {
+        worker.ends().record(number, number);
+        worker.ends().markDurableUpTo(number);
+    }
+
+    /**
+     * A worker forgets the ends up to the number in a call, also if it has started again under its id since and counts
+     * them anew; tasks that are done would then run again.
+     */
+    @Test
+    void endsThatWereAcknowledgedOnceAreNotAcknowledgedAgain() {
+        recordDurableEnd(64);
+        assertThat(poll().acknowledged()).isEqualTo(64);
+        context.answer(report(List.of()));
+        startRun();
+        assertThat(poll().acknowledged()).isZero();
+    }
+
+    @Test
+    void endsAreAcknowledgedAfterALostCallOnlyOnceTheWorkerHasShownThatItIsTheSame() {
+        startRun();
+        context.answer(new WorkerAnswer.Done(0));
+        poll();
+        context.answer(new WorkerAnswer.Lost(NO_ANSWER));
+        recordDurableEnd(64);
+        assertThat(poll().acknowledged()).isZero();
+        context.answer(report(List.of()));
+        assertThat(poll().acknowledged()).isEqualTo(64);
+    }
+
+    @Test
+    void endsOfAFormerLifeAreNotAcknowledgedOnceTheEntryShowsAnotherOne() {
+        recordDurableEnd(64);
+        worker.register(OwnerFixtures.entry("w", 2, 16_000, "r1"), OwnerFixtures.NOW);
+        assertThat(poll().acknowledged()).isZero();
+    }
+
     /** Such a run has no end that the poll could wait for, and its task waits for the report. */
     @Test
     void reportThatShowsAnUnansweredStartHadNoEffectIsNotDelayedByALongPoll() {
