--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacle.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/PlacementObstacle.java
@@ -19,6 +19,9 @@
     /** The last call to the worker was not answered, or none has been yet. */
     NOT_ANSWERING,
 
+    /** The worker's entry and its last report are of different lives of the worker. */
+    RESTARTED,
+
     /** The worker has a run that the owner cannot assign to a task. */
     UNKNOWN_RUNS,
 
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerRegistry.java
@@ -157,6 +157,10 @@
         if (!answering(worker)) {
             return PlacementObstacle.NOT_ANSWERING;
         }
+        if (worker.registeredInOtherLife()) {
+            // The labels and the capacity are known from the entry, the address that answers from the report.
+            return PlacementObstacle.RESTARTED;
+        }
         return worker.hasUnknownRuns() ? PlacementObstacle.UNKNOWN_RUNS : PlacementObstacle.NONE;
     }
 
@@ -381,8 +385,8 @@
                     entry.dataCentre(),
                     entry.labels().stream().sorted().collect(Collectors.joining(",")));
         }
-        if (worker.hasReported() && worker.incarnation() != entry.incarnation()) {
-            poller.pollSoon();
+        if (worker.registeredInOtherLife()) {
+            poller.probe();
         }
         return changed;
     }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -424,8 +424,9 @@
             }
             pendingCalls.add(now.plus(CALL_LATENCY), () -> {
                 WorkerAnswer result = worker.apply(order, clockMillis());
-                Duration answerDelay =
-                        result instanceof WorkerAnswer.Lost ? CALL_TIMEOUT : partitions.answerLatency(order);
+                Duration answerDelay = result instanceof WorkerAnswer.Lost
+                        ? CALL_TIMEOUT
+                        : partitions.answerLatency(worker.name(), order);
                 answer(answerDelay, () -> handler.accept(result));
             });
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/FakeWorker.java
@@ -38,7 +38,7 @@
 
     private final Resources capacity;
 
-    private final String address;
+    private String address;
 
     private final Map<TaskRef, Integer> running = new LinkedHashMap<>();
 
@@ -310,13 +310,14 @@
         lastEndNumber = 0;
     }
 
-    /**
-     * Ends a run.
-     *
-     * @param task the task
-     * @param kind the kind of end
-     */
-    public void end(TaskRef task, EndKind kind) {
+    /** Restarts the worker at another address. */
+    void restartAt(String newAddress) {
+        restart();
+        address = newAddress;
+    }
+
+    /** Ends a run. */
+    void end(TaskRef task, EndKind kind) {
         Integer run = running.remove(task);
         if (run != null) {
             lastEndNumber++;
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -1,7 +1,9 @@
 package org.flamingopitch.scheduler.cell;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.flamingopitch.coordination.kv.KeyValueRequest;
 import org.flamingopitch.scheduler.cell.port.WorkerOrder;
@@ -20,6 +22,8 @@
 
     private final Set<Link> lostLinks = new HashSet<>();
 
+    private final Map<String, Duration> reportLatencies = new HashMap<>();
+
     private Duration startAnswerLatency = CellSession.CALL_LATENCY;
 
     /**
@@ -74,12 +78,20 @@
         return !lostLinks.contains(new Link(host, worker));
     }
 
+    /** Sets how long the reports of a worker take. */
+    void setReportLatency(String worker, Duration latency) {
+        reportLatencies.put(worker, latency);
+    }
+
     /** Sets how long the answers of workers to starts take; reports may then show a run before. */
     void setStartAnswerLatency(Duration latency) {
         startAnswerLatency = latency;
     }
 
-    Duration answerLatency(WorkerOrder order) {
+    Duration answerLatency(String worker, WorkerOrder order) {
+        if (order instanceof WorkerOrder.Hold) {
+            return reportLatencies.getOrDefault(worker, CellSession.CALL_LATENCY);
+        }
         return order instanceof WorkerOrder.Start ? startAnswerLatency : CellSession.CALL_LATENCY;
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerObstacleTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerObstacleTest.java
@@ -112,6 +112,21 @@
         check(PlacementObstacle.UNKNOWN_RUNS);
     }
 
+    @Test
+    void workerWhoseEntryAndReportAreOfDifferentLivesIsToldApart() {
+        registry.tick(true);
+        worker().register(OwnerFixtures.entry("w", 2, 16_000, "r1"), NOW);
+        check(PlacementObstacle.RESTARTED);
+    }
+
+    /** An entry without a start time tells nothing; a worker must not be excluded for good because of it. */
+    @Test
+    void workerWhoseEntryNamesNoLifeHasNoObstacle() {
+        registry.tick(true);
+        worker().register(OwnerFixtures.entry("w", 0, 16_000, "r1"), NOW);
+        check(PlacementObstacle.NONE);
+    }
+
     private static final class OneWorker implements CellContext {
 
         private boolean answering = true;
