--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/CellLoad.java
@@ -28,11 +28,11 @@
         this.bestEffortCompletionRate = bestEffortCompletionRate;
     }
 
-    /** Returns the number of accepted jobs of a queue of which no task has started. */
+    /** Returns the number of accepted jobs of a queue of which no task is known to have begun. */
     int countPendingJobs(QueueName queue) {
         int count = 0;
         for (Job job : jobs.all()) {
-            if (job.open() && !job.started() && job.queue().name().equals(queue)) {
+            if (job.open() && !job.begun() && job.queue().name().equals(queue)) {
                 count++;
             }
         }
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Job.java
@@ -53,8 +53,12 @@
 
     private boolean definitionStored;
 
+    /** Whether the start of a task was ordered. */
     private boolean started;
 
+    /** Whether a worker is known to have begun a task. */
+    private boolean begun;
+
     private JobState endState;
 
     private JobState durableEndState;
@@ -217,6 +221,15 @@
         started = true;
     }
 
+    /** Returns whether a worker is known to have begun a task; the order of a start does not show it. */
+    boolean begun() {
+        return begun;
+    }
+
+    void markBegun() {
+        begun = true;
+    }
+
     /** Returns the state in which the job ended, or null while it is open. */
     JobState endState() {
         return endState;
@@ -265,7 +278,7 @@
         if (durableEndState != null) {
             return durableEndState;
         }
-        return started ? JobState.RUNNING : JobState.QUEUED;
+        return begun || startedByFormerOwner ? JobState.RUNNING : JobState.QUEUED;
     }
 
     boolean allDone() {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/JobTable.java
@@ -99,6 +99,9 @@
         record.crashedRuns().forEach(number -> task.addCrash(number, true));
         record.possiblyCrashedRuns().forEach(number -> task.addCrash(number, false));
         task.updateCheckpoint(record.checkpoint());
+        if (record.showsBegin()) {
+            job.markBegun();
+        }
         if (record.done()) {
             task.markDone();
             task.step().incrementDoneCount();
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -199,7 +199,10 @@
     /** Enters a phase; its first order is due at once. */
     void enterPhase(RunPhase next, Instant now) {
         phase = next;
-        confirmed |= next == RunPhase.RUNNING;
+        if (next == RunPhase.RUNNING) {
+            confirmed = true;
+            task.job().markBegun();
+        }
         if (startedAt == null && next == RunPhase.SENT) {
             startedAt = now;
             if (task.checkpoint().isEmpty()) {
@@ -360,6 +363,7 @@
     /** Records the progress and the measurement of a worker's report. */
     void observe(double newProgressPercent, double newMeasurement, Instant now) {
         confirmed = true;
+        task.job().markBegun();
         reportedAt = now;
         proven |= startedAt != null && !now.isBefore(startedAt.plus(CrashAttribution.SUSPICION_TIME));
         if (newProgressPercent > progressPercent || throttledToPercent == 0) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/RunManager.java
@@ -339,6 +339,7 @@
         }
         LOGGER.atInfo().log(
                 "event=end task=%s run=%d worker=%s kind=%s", end.task(), end.run(), worker.id(), end.kind());
+        task.job().markBegun();
         Run run = task.run(end.run(), worker);
         Run copy = task.copy();
         if (run != null) {
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/TaskRecord.java
@@ -73,6 +73,11 @@
                 earlier == null ? null : OpenRun.of(earlier));
     }
 
+    /** Returns whether a worker had begun the task; a recorded run alone does not show it, as its start may be refused. */
+    boolean showsBegin() {
+        return done || !failedRuns.isEmpty() || !crashedRuns.isEmpty() || checkpoint != null;
+    }
+
     /**
      * An open run of a task that has a later one.
      *
