--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -44,7 +44,9 @@
     public static final Duration CALL_LATENCY = Duration.ofMillis(3);
 
     /** The time after which a call without an answer fails. */
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+    static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+
+    private static final String STORE = "store";
 
     private static final Duration TICK = Duration.ofMillis(5);
 
@@ -130,14 +132,8 @@
         farFactor = factor;
     }
 
-    /**
-     * Adds a worker.
-     *
-     * @param name its name
-     * @param milliCores its processor time in thousandths of a core
-     * @return the worker
-     */
-    public FakeWorker addWorker(String name, long milliCores) {
+    /** Adds a worker with that processor time in thousandths of a core. */
+    FakeWorker addWorker(String name, long milliCores) {
         return addWorker(name, name + ":1", milliCores);
     }
 
@@ -155,21 +151,13 @@
         return worker;
     }
 
-    /**
-     * Removes a worker and its registration.
-     *
-     * @param name its name
-     */
-    public void removeWorker(String name) {
+    /** Removes a worker and its registration. */
+    void removeWorker(String name) {
         workers.remove(name);
     }
 
-    /**
-     * Adds a host and starts it.
-     *
-     * @param name its name
-     */
-    public void addHost(String name) {
+    /** Adds a host and starts it. */
+    void addHost(String name) {
         addHost(name, 1);
     }
 
@@ -207,12 +195,8 @@
         host.suspendedFor = host.suspendedFor.plus(time);
     }
 
-    /**
-     * Changes the configuration of all hosts.
-     *
-     * @param next the configuration
-     */
-    public void configure(CellConfiguration next) {
+    /** Changes the configuration of all hosts. */
+    void configure(CellConfiguration next) {
         configuration = next;
         publish(next);
         hosts.values().forEach(host -> host.node.configure(next));
@@ -223,13 +207,8 @@
         configurations.publish(store, next);
     }
 
-    /**
-     * Returns the cell node of a host.
-     *
-     * @param name the name of the host
-     * @return its node
-     */
-    public CellNode node(String name) {
+    /** Returns the cell node of a host. */
+    CellNode node(String name) {
         return hosts.get(name).node;
     }
 
@@ -253,13 +232,8 @@
         return metrics;
     }
 
-    /**
-     * Returns a worker.
-     *
-     * @param name its name
-     * @return the worker
-     */
-    public FakeWorker worker(String name) {
+    /** Returns a worker. */
+    FakeWorker worker(String name) {
         return workers.get(name);
     }
 
@@ -308,6 +282,11 @@
         return replies;
     }
 
+    /** Lets all open connections go silent for good, while new ones work. */
+    void silenceConnections() {
+        partitions.silenceConnections(now);
+    }
+
     /**
      * Creates the specification of a job with one step.
      *
@@ -377,6 +356,10 @@
         public void callStore(KeyValueRequest request, Consumer<KeyValueResult> handler) {
             Duration extra = Duration.ofMillis(maxExtraLatencyMillis == 0 ? 0 : random.nextInt(maxExtraLatencyMillis));
             Duration latency = CALL_LATENCY.plus(extra);
+            if (partitions.losesCall(self.address(), STORE, now)) {
+                answer(CALL_TIMEOUT, () -> handler.accept(FakeStore.failure("no answer in time")));
+                return;
+            }
             if (storeConnectionsReset) {
                 resetConnection(request, latency, handler);
                 return;
@@ -398,6 +381,14 @@
                     && result instanceof KeyValueResult.Listed listed
                     && listed.entries().isEmpty()
                     && now.isBefore(receivedAt.plus(watch.maxWait()));
+            if (watchWaits && partitions.silencedSince(receivedAt)) {
+                Instant timeoutAt = receivedAt
+                        .plus(((KeyValueRequest.Watch) request).maxWait())
+                        .plus(CALL_TIMEOUT);
+                Duration remaining = Duration.between(now, timeoutAt);
+                answer(remaining, () -> handler.accept(FakeStore.failure("no answer in time")));
+                return;
+            }
             if (watchWaits) {
                 answer(WATCH_CHECK_INTERVAL, () -> executeStoreCall(request, receivedAt, handler));
                 return;
@@ -417,7 +408,8 @@
         @Override
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
-            if (worker == null || !partitions.reachesWorker(self.address(), worker.name())) {
+            boolean lost = partitions.losesCall(self.address(), target.worker().value(), now);
+            if (lost || worker == null || !partitions.reachesWorker(self.address(), worker.name())) {
                 Failure failure = new Failure("worker", target.address(), "no answer in time");
                 answer(CALL_TIMEOUT, () -> handler.accept(new WorkerAnswer.Lost(failure)));
                 return;
@@ -469,13 +461,15 @@
                 return;
             }
             AtomicBoolean answered = new AtomicBoolean();
-            pendingCalls.add(
-                    now.plus(CALL_LATENCY),
-                    () -> target.node.handlePeerRequest(request, reply -> {
-                        if (!target.killed && answered.compareAndSet(false, true)) {
-                            answer(CALL_LATENCY, () -> handler.accept(new ForwardOutcome.Answered(reply)));
-                        }
-                    }));
+            if (!partitions.losesCall(self.address(), owner.address(), now)) {
+                pendingCalls.add(
+                        now.plus(CALL_LATENCY),
+                        () -> target.node.handlePeerRequest(request, reply -> {
+                            if (!target.killed && answered.compareAndSet(false, true)) {
+                                answer(CALL_LATENCY, () -> handler.accept(new ForwardOutcome.Answered(reply)));
+                            }
+                        }));
+            }
             answer(timeout, () -> {
                 if (answered.compareAndSet(false, true)) {
                     handler.accept(new ForwardOutcome.Lost("no answer in time"));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/Partitions.java
@@ -1,6 +1,7 @@
 package org.flamingopitch.scheduler.cell;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -22,6 +23,15 @@
 
     private final Set<Link> lostLinks = new HashSet<>();
 
+    /** When connections last went silent; null if they never did. */
+    private Instant silencedAt;
+
+    /** The links that have opened new connections since the last silence. */
+    private final Set<Link> reopenedLinks = new HashSet<>();
+
+    /** When the first call that was lost in a silence times out, for each silent link that has lost one. */
+    private final Map<Link, Instant> detectedAt = new HashMap<>();
+
     private final Map<String, Duration> reportLatencies = new HashMap<>();
 
     private Duration startAnswerLatency = CellSession.CALL_LATENCY;
@@ -68,6 +78,34 @@
         hostsWithoutRecords.remove(host);
     }
 
+    /**
+     * Lets all open connections go silent for good, while new ones work. On each link the calls are lost that are sent
+     * before the first one of them has timed out, as the idle connections are closed then.
+     */
+    void silenceConnections(Instant now) {
+        silencedAt = now;
+        reopenedLinks.clear();
+    }
+
+    /** Returns whether a call that is sent now is lost on a silent connection. */
+    boolean losesCall(String host, String peer, Instant now) {
+        Link link = new Link(host, peer);
+        if (silencedAt == null || reopenedLinks.contains(link)) {
+            return false;
+        }
+        if (now.isBefore(detectedAt.computeIfAbsent(link, key -> now.plus(CellSession.CALL_TIMEOUT)))) {
+            return true;
+        }
+        detectedAt.remove(link);
+        reopenedLinks.add(link);
+        return false;
+    }
+
+    /** Returns whether connections have gone silent after a moment. */
+    boolean silencedSince(Instant moment) {
+        return silencedAt != null && silencedAt.isAfter(moment);
+    }
+
     boolean reachesStore(String host, KeyValueRequest request) {
         boolean listsRecords = request instanceof KeyValueRequest.ListPage page
                 && page.prefix().startsWith(RECORD_PREFIX);
@@ -95,5 +133,5 @@
         return order instanceof WorkerOrder.Start ? startAnswerLatency : CellSession.CALL_LATENCY;
     }
 
-    private record Link(String host, String worker) {}
+    private record Link(String host, String peer) {}
 }
