--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/KnownQueues.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/KnownQueues.java
@@ -2,10 +2,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.flamingopitch.scheduler.cell.model.CellConfiguration;
 import org.flamingopitch.scheduler.cell.model.QueueName;
 import org.flamingopitch.scheduler.cell.model.QueueSpec;
@@ -63,11 +65,15 @@
 
     /**
      * Returns the queue to which a submission belongs: that to which a host with the newest configuration would route it.
+     * The submission must have been passed to {@link #learn} before.
      *
      * @return the queue, or empty if a newer configuration than the sending host's has none for the submission
      */
     Optional<QueueSpec> resolve(JobRequest.Submit submit) {
         QueueSpec sent = submit.queue();
+        if (submit.configurationVersion() > configuration.version()) {
+            return Optional.of(received.get(sent.name()).queue());
+        }
         Optional<QueueSpec> queue = newest.route(sent.host(), sent.prefix() + submit.id())
                 .filter(each -> each.prefix().length() == sent.prefix().length());
         if (queue.isEmpty() && submit.configurationVersion() == JobRequest.Submit.UNKNOWN_VERSION) {
@@ -86,13 +92,16 @@
     }
 
     private void combine() {
-        List<QueueSpec> queues = new ArrayList<>();
+        // The first of several queues with the same path is the one to which it leads.
+        List<QueueSpec> queues = received.values().stream()
+                .sorted(Comparator.comparingLong(Received::version).reversed())
+                .map(Received::queue)
+                .collect(Collectors.toCollection(ArrayList::new));
         for (QueueSpec queue : configuration.queues()) {
             if (!received.containsKey(queue.name())) {
                 queues.add(queue);
             }
         }
-        received.values().forEach(each -> queues.add(each.queue()));
         newest = new CellConfiguration(configuration.version(), queues, configuration.maxBodyBytes());
     }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/KnownQueuesTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/KnownQueuesTest.java
@@ -64,6 +64,23 @@
         assertThat(queues.queue(new QueueName("q"))).isEmpty();
     }
 
+    @Test
+    void queueThatANewerConfigurationHasRenamedIsNotReplacedByTheFormerOneOnItsPath() {
+        KnownQueues queues = new KnownQueues(version(5, queue("q", "/q/", 1)));
+        JobRequest.Submit renamed = submission(7, queue("r", "/q/", 2));
+        queues.learn(renamed);
+        assertThat(queues.resolve(renamed)).contains(queue("r", "/q/", 2));
+        assertThat(queues.resolve(submission(4, queue("q", "/q/", 0)))).contains(queue("r", "/q/", 2));
+    }
+
+    @Test
+    void submissionOfANewerConfigurationIsNotRefusedBecauseOfALongerPathThatItHasDropped() {
+        KnownQueues queues = new KnownQueues(version(5, queue("long", "/q/00", 1)));
+        JobRequest.Submit submit = submission(7, queue("q", "/q/", 2));
+        queues.learn(submit);
+        assertThat(queues.resolve(submit)).contains(queue("q", "/q/", 2));
+    }
+
     @Test
     void submissionIsRefusedWhoseIdWouldBeAnotherOneInTheNewerConfiguration() {
         KnownQueues queues = new KnownQueues(version(5, queue("r", "/q/a/", 1)));
