--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/Run.java
@@ -171,6 +171,11 @@
         workerIncarnation = incarnation;
     }
 
+    /** Returns whether the worker has started again since the run was placed; its kind and capacity may have changed. */
+    boolean placedOnFormerLife() {
+        return workerIncarnation != 0 && (worker.incarnation() != workerIncarnation || worker.registeredInOtherLife());
+    }
+
     /** Releases the resources reserved on the worker and removes this run, which has just ended, from its task. */
     void release(Instant now) {
         worker.remove(this, now);
--- a/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
+++ b/scheduler/src/main/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSender.java
@@ -101,7 +101,11 @@
             return;
         }
         if (run.phase() == RunPhase.SENT && !run.startInFlight()) {
-            sendStart(run);
+            if (run.placedOnFormerLife()) {
+                stop(run);
+            } else {
+                sendStart(run);
+            }
         } else if (run.phase() == RunPhase.STOPPING && !run.stopInFlight()) {
             sendStop(run);
         }
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/CellSession.java
@@ -409,7 +409,8 @@
         public void callWorker(WorkerTarget target, WorkerOrder order, Consumer<WorkerAnswer> handler) {
             FakeWorker worker = workers.get(target.worker().value());
             boolean lost = partitions.losesCall(self.address(), target.worker().value(), now);
-            if (lost || worker == null || !partitions.reachesWorker(self.address(), worker.name())) {
+            boolean present = worker != null && worker.address().equals(target.address());
+            if (lost || !present || !partitions.reachesWorker(self.address(), worker.name())) {
                 Failure failure = new Failure("worker", target.address(), "no answer in time");
                 answer(CALL_TIMEOUT, () -> handler.accept(new WorkerAnswer.Lost(failure)));
                 return;
@@ -419,7 +420,12 @@
                 Duration answerDelay = result instanceof WorkerAnswer.Lost
                         ? CALL_TIMEOUT
                         : partitions.answerLatency(worker.name(), order);
-                answer(answerDelay, () -> handler.accept(result));
+                long life = worker.entry().incarnation();
+                Failure reset = new Failure("worker", target.address(), "connection reset");
+                answer(
+                        answerDelay,
+                        () -> handler.accept(
+                                worker.entry().incarnation() == life ? result : new WorkerAnswer.Lost(reset)));
             });
         }
 
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WorkerRestartsSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WorkerRestartsSessionTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -45,6 +45,9 @@
     /** The entries are listed each 800 ms; before that the owner cannot know that an idle worker has started again. */
     private static final Duration LISTING_DELAY = Duration.ofMillis(900);
 
+    /** The platform gives an address to another worker no earlier than this. */
+    private static final Duration ADDRESS_REUSE_DELAY = Duration.ofSeconds(2);
+
     /** How long runs on a life that has ended may keep their tasks from being started elsewhere. */
     private static final Duration RECOVERY_TIME = Duration.ofSeconds(20);
 
@@ -84,7 +87,8 @@
 
         private final Set<String> failures = new TreeSet<>();
 
-        private final List<String> leftAddresses = new ArrayList<>();
+        /** The addresses that no worker has any more, in the order in which they were left, with the time. */
+        private final Map<String, Duration> leftAddresses = new LinkedHashMap<>();
 
         private Duration time = Duration.ZERO;
 
@@ -131,9 +135,10 @@
             }
             if (random.nextInt(3) == 0) {
                 String former = worker.address();
-                boolean reuse = !leftAddresses.isEmpty() && random.nextBoolean();
-                worker.restartAt(reuse ? leftAddresses.remove(0) : "a" + time.toMillis() + ":1");
-                leftAddresses.add(former);
+                worker.restartAt(
+                        reusableAddress().filter(any -> random.nextBoolean()).orElse("a" + time.toMillis() + ":1"));
+                leftAddresses.remove(worker.address());
+                leftAddresses.put(former, time);
             } else {
                 worker.restart();
             }
@@ -141,6 +146,13 @@
             ends.put(worker, List.of());
         }
 
+        private Optional<String> reusableAddress() {
+            return leftAddresses.entrySet().stream()
+                    .filter(left -> time.compareTo(left.getValue().plus(ADDRESS_REUSE_DELAY)) >= 0)
+                    .map(Map.Entry::getKey)
+                    .findFirst();
+        }
+
         private void submit() {
             String job = String.format("%016x", replies.size());
             labels.put(job, label(random.nextInt(LABELS)));
--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/owner/WorkerOrderSenderTest.java
@@ -88,6 +88,23 @@
         assertThat(context.orders.getLast()).isInstanceOf(WorkerOrder.Stop.class);
     }
 
+    /** The life that follows may be of another kind, on which the task must not start. */
+    @Test
+    void unansweredStartIsNotRepeatedOnALaterLifeOfTheWorker() {
+        context.answer(new WorkerAnswer.Lost(NO_ANSWER));
+        worker.register(OwnerFixtures.entry("w", 2, 16_000, "r1"), context.now());
+        repeatStart();
+        assertThat(context.lastOrder()).isInstanceOf(WorkerOrder.Stop.class);
+    }
+
+    @Test
+    void unansweredStartIsNotRepeatedOnALifeThatOnlyAReportHasShown() {
+        context.answer(new WorkerAnswer.Lost(NO_ANSWER));
+        worker.recordReport(2, 0, Duration.ofSeconds(6), context.now());
+        repeatStart();
+        assertThat(context.lastOrder()).isInstanceOf(WorkerOrder.Stop.class);
+    }
+
     @ParameterizedTest
     @MethodSource("answersWithoutEffect")
     void firstStartWithoutEffectIsRefused(WorkerAnswer answer) {
