--- a/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WorkerRestartsSessionTest.java
+++ b/scheduler/src/test/java/org/flamingopitch/scheduler/cell/WorkerRestartsSessionTest.java
@@ -16,6 +16,7 @@
 import org.flamingopitch.scheduler.cell.entry.CallerReply;
 import org.flamingopitch.scheduler.cell.model.EndKind;
 import org.flamingopitch.scheduler.cell.model.JobSpec;
+import org.flamingopitch.scheduler.cell.model.JobState;
 import org.flamingopitch.scheduler.cell.model.RunEnd;
 import org.flamingopitch.scheduler.cell.model.StepSpec;
 import org.flamingopitch.scheduler.cell.model.StepSpecBuilder;
@@ -57,6 +58,18 @@
                 .isEmpty();
     }
 
+    /** Only ends as failed count as attempts of a task, and no run of these sessions ends so. */
+    @Test
+    void noJobIsGivenUpBecauseItsWorkersStartAgain() {
+        assertThat(FailingSeeds.of(FIRST_SEED, SEEDS, seed -> {
+                    Session session = new Session(seed);
+                    session.play();
+                    return session.givenUp;
+                }))
+                .as("jobs that were given up by seed")
+                .isEmpty();
+    }
+
     private static final class Session {
 
         private final SplittableRandom random;
@@ -81,6 +94,9 @@
 
         private final Set<String> failures = new TreeSet<>();
 
+        /** The jobs that are shown as failed. */
+        private final Set<String> givenUp = new TreeSet<>();
+
         /** The addresses that no worker has any more, in the order in which they were left, with the time. */
         private final Map<String, Duration> leftAddresses = new LinkedHashMap<>();
 
@@ -211,7 +227,6 @@
             }
         }
 
-        /** A job is given up after three crashes of its workers, which is another matter. */
         private void checkAllEnded() {
             replies.forEach((job, reply) -> {
                 boolean accepted = reply.equals(List.of(new CallerReply.Done()));
@@ -221,6 +236,9 @@
                 boolean ended = state.stream()
                         .anyMatch(each -> each instanceof CallerReply.State shown
                                 && shown.state().terminal());
+                if (state.contains(new CallerReply.State(JobState.FAILED))) {
+                    givenUp.add(job);
+                }
                 if (accepted && anyWorker && !ended) {
                     failures.add(job + " has not ended: " + state);
                 }
